--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -15,6 +15,8 @@
 #define FIRST_BODY_BYTES 512
 #define MAX_SPARE_HANDLES 64
 #define SWEEP_MS 50
+/* A sweep later than that tells that answers wait here to be read. */
+#define LATE_SWEEP_MS 10
 /* libcurl's default, 16 kB, is allocated and freed with each request. */
 #define READ_BUFFER_BYTES 1024L
 /* Below it libcurl asks no server for leave to send a body. */
@@ -52,6 +54,8 @@
 	struct tevent_immediate *turn; /* one that is due at once */
 	struct watch **watches; /* by descriptor */
 	struct tevent_timer *sweep;
+	uint64_t sweep_due_ms;
+	uint64_t swept_ms; /* the last time */
 	SLIST_HEAD(, transfer) spares;
 	LIST_HEAD(, transfer) actives;
 	size_t spare_count;
@@ -144,22 +148,26 @@
 
 /*
  * Ends what is over: libcurl does not time out a request that waits for a
- * connection to its host.
+ * connection to its host. The loop runs timers before it reads sockets: where
+ * it stood still, what has become over meanwhile is left to the next sweep.
  */
 static void sweep(struct tevent_context *ev, struct tevent_timer *te,
 		  struct timeval now, void *private_data)
 {
 	struct htc *htc = private_data;
 	uint64_t now_ms = clk_now_ms();
+	bool late = now_ms > htc->sweep_due_ms + LATE_SWEEP_MS;
+	uint64_t until_ms = late ? htc->swept_ms : now_ms;
 	struct transfer *t, *next;
 
 	(void)ev;
 	(void)te;
 	(void)now;
 	htc->sweep = NULL;
+	htc->swept_ms = now_ms;
 	for (t = LIST_FIRST(&htc->actives); t; t = next) {
 		next = LIST_NEXT(t, active);
-		if (is_over(t, now_ms))
+		if (is_over(t, until_ms))
 			finish(t, CURLE_OPERATION_TIMEDOUT);
 	}
 	arm_sweep(htc);
@@ -169,9 +177,10 @@
 {
 	struct timeval at = tevent_timeval_current_ofs(0, SWEEP_MS * 1000);
 
-	if (!htc->sweep && !LIST_EMPTY(&htc->actives))
-		htc->sweep =
-			tevent_add_timer(htc->options.ev, htc, at, sweep, htc);
+	if (htc->sweep || LIST_EMPTY(&htc->actives))
+		return;
+	htc->sweep_due_ms = clk_now_ms() + SWEEP_MS;
+	htc->sweep = tevent_add_timer(htc->options.ev, htc, at, sweep, htc);
 }
 
 /* Sockets in the loop */
--- a/packages/adapters/tests/test_http_client.c
+++ b/packages/adapters/tests/test_http_client.c
@@ -194,6 +194,24 @@
 }
 END_TEST
 
+/*
+ * The loop stood still until a request's time was up, while its answer lay in
+ * the socket: a start that was answered is not to be looked up as unknown.
+ */
+START_TEST(test_answer_after_pause)
+{
+	uint64_t ends_ms = clk_now_ms() + SENT_WITHIN_MS;
+
+	send_one(SENT_WITHIN_MS, 0);
+	run_until(&f->held_count, 1);
+	answer(0, "yes");
+	while (clk_now_ms() <= ends_ms)
+		;
+	run_until(&f->answer_count, 1);
+	ck_assert_int_eq(f->answers[0].status, HTC_ANSWERED);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http_client");
@@ -208,6 +226,7 @@
 	tcase_add_test(tc, test_too_late_to_send);
 	tcase_add_test(tc, test_time_left);
 	tcase_add_test(tc, test_timeout_in_queue);
+	tcase_add_test(tc, test_answer_after_pause);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
