bergamotctl status: an instance on leased workers

Change: core/lease_status tells who leads, members, workers with room, speed and breakers, backlog by queue; daemon/monitor serves it beside the metrics, which move there from platform/ because nothing of them is the platform's; bergamotctl status prints it. JSON members are added by base/json_text, not by macros of node_status.c.

--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -39,3 +39,19 @@
 		return NULL;
 	return json_object_get_string(v);
 }
+
+void jsn_add_text(json_object *obj, const char *key, const char *value)
+{
+	json_object_object_add(obj, key, json_object_new_string(value));
+}
+
+void jsn_add_number(json_object *obj, const char *key, uint64_t value)
+{
+	json_object_object_add(obj, key, json_object_new_int64((int64_t)value));
+}
+
+void jsn_add_flag(json_object *obj, const char *key, bool value)
+{
+	json_object_object_add(obj, key,
+			       json_object_new_boolean((json_bool)value));
+}
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -2,7 +2,9 @@
 #define BASE_JSON_TEXT_H
 
 #include <json-c/json.h>
+#include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /*
  * Texts in JSON: written by hand where a tree would cost too much, and read
@@ -18,4 +20,9 @@
 /* The text at a key, which stays the object's; NULL for anything else. */
 const char *jsn_text(json_object *obj, const char *key);
 
+/* Add a member of that type. */
+void jsn_add_text(json_object *obj, const char *key, const char *value);
+void jsn_add_number(json_object *obj, const char *key, uint64_t value);
+void jsn_add_flag(json_object *obj, const char *key, bool value);
+
 #endif
--- a/packages/base/settings.c
+++ b/packages/base/settings.c
@@ -126,7 +126,7 @@
 	{ "readiness.listen", ADDRESS, FIELD(readiness_listen), NULL, 0, 0, "",
 	  NULL, "address that the balancer asks whether to send callers" },
 	{ "metrics.listen", ADDRESS, FIELD(metrics_listen), NULL, 0, 0, "",
-	  NULL, "address of /metrics and /status" },
+	  NULL, "address of /metrics and /v1/status on leased workers" },
 	{ "machine.cores", DECIMAL, FIELD(machine_cores), "1", 0, 1024, "cores",
 	  NULL, "processor share of this machine; the largest leads first" },
 	{ "machine.first_start", FLAG, FIELD(first_start), "false", 0, 0, "",
--- a/packages/base/token_bucket.c
+++ b/packages/base/token_bucket.c
@@ -46,3 +46,11 @@
 		return 0;
 	return (uint64_t)ceil(-tkb->tokens * 1000 / tkb->per_s);
 }
+
+double tkb_left(const struct tkb *tkb, uint64_t now_ms)
+{
+	struct tkb copy = *tkb;
+
+	fill(&copy, now_ms);
+	return copy.tokens;
+}
--- a/packages/base/token_bucket.h
+++ b/packages/base/token_bucket.h
@@ -28,4 +28,7 @@
 /* Takes them also where they have to be waited for; returns how long, in ms. */
 uint64_t tkb_take_later(struct tkb *tkb, double tokens, uint64_t now_ms);
 
+/* The tokens there are; below 0, some are waited for. */
+double tkb_left(const struct tkb *tkb, uint64_t now_ms);
+
 #endif
--- a/packages/core/node_status.c
+++ b/packages/core/node_status.c
@@ -3,6 +3,7 @@
 #include <json-c/json.h>
 #include <stdio.h>
 
+#include "base/json_text.h"
 #include "core/node_state.h"
 
 static void add_member(void *ctx, struct mbr_member *m)
@@ -13,22 +14,16 @@
 
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 		 (unsigned long long)m->incarnation);
-#define ADD_TEXT(key, value)                                                   \
-	json_object_object_add(obj, key, json_object_new_string(value))
-#define ADD_NUMBER(key, value)                                                 \
-	json_object_object_add(obj, key,                                       \
-			       json_object_new_int64((int64_t)(value)))
-	ADD_TEXT("instance", m->instance);
-	ADD_TEXT("data_centre", m->data_centre);
-	ADD_TEXT("address", m->address);
-	ADD_TEXT("incarnation", incarnation);
-	ADD_TEXT("state", mbr_state_word(m->state));
-	ADD_NUMBER("config_version", m->config_version);
-	ADD_NUMBER("slots", m->slots);
-	ADD_NUMBER("idle_slots", m->idle_slots);
-	ADD_NUMBER("backlog_tasks", m->backlog_tasks);
-	json_object_object_add(obj, "linked",
-			       json_object_new_boolean(m->linked));
+	jsn_add_text(obj, "instance", m->instance);
+	jsn_add_text(obj, "data_centre", m->data_centre);
+	jsn_add_text(obj, "address", m->address);
+	jsn_add_text(obj, "incarnation", incarnation);
+	jsn_add_text(obj, "state", mbr_state_word(m->state));
+	jsn_add_number(obj, "config_version", m->config_version);
+	jsn_add_number(obj, "slots", m->slots);
+	jsn_add_number(obj, "idle_slots", m->idle_slots);
+	jsn_add_number(obj, "backlog_tasks", m->backlog_tasks);
+	jsn_add_flag(obj, "linked", m->linked);
 	json_object_array_add(list, obj);
 }
 
@@ -43,14 +38,13 @@
 	json_object *list = ctx;
 	json_object *obj = json_object_new_object();
 
-	ADD_TEXT("worker", w->name);
-	ADD_TEXT("service", service);
-	ADD_NUMBER("slots", w->slots);
-	ADD_NUMBER("running", w->running);
-	ADD_NUMBER("mean_run_us", w->mean_us);
-	ADD_TEXT("breaker", breaker_words[w->breaker.state]);
-	json_object_object_add(obj, "leaving",
-			       json_object_new_boolean(w->leaving));
+	jsn_add_text(obj, "worker", w->name);
+	jsn_add_text(obj, "service", service);
+	jsn_add_number(obj, "slots", w->slots);
+	jsn_add_number(obj, "running", w->running);
+	jsn_add_number(obj, "mean_run_us", w->mean_us);
+	jsn_add_text(obj, "breaker", breaker_words[w->breaker.state]);
+	jsn_add_flag(obj, "leaving", w->leaving);
 	json_object_array_add(list, obj);
 }
 
@@ -63,13 +57,11 @@
 
 	nod->now_ms = now_ms;
 	nod_refresh_self(nod);
-	ADD_TEXT("instance", nod->settings->instance);
-	json_object_object_add(obj, "ready",
-			       json_object_new_boolean(nod_is_ready(nod)));
-	json_object_object_add(obj, "dispatcher",
-			       json_object_new_boolean(nod_is_dispatcher(nod)));
-	ADD_NUMBER("config_version", cfg_version(nod->config));
-	ADD_NUMBER("records", rec_count(nod->records));
+	jsn_add_text(obj, "instance", nod->settings->instance);
+	jsn_add_flag(obj, "ready", nod_is_ready(nod));
+	jsn_add_flag(obj, "dispatcher", nod_is_dispatcher(nod));
+	jsn_add_number(obj, "config_version", cfg_version(nod->config));
+	jsn_add_number(obj, "records", rec_count(nod->records));
 	mbr_each(nod->members, add_member, members);
 	json_object_object_add(obj, "members", members);
 	dsp_each_worker(nod->dispatch, add_worker, workers);
--- a/packages/ctl/operate.c
+++ b/packages/ctl/operate.c
@@ -24,6 +24,59 @@
 	}
 }
 
+static void print_list(json_object *obj, const char *key,
+		       const char *const *columns)
+{
+	json_object *list;
+
+	if (!json_object_object_get_ex(obj, key, &list))
+		return;
+	putchar('\n');
+	print_table(list, columns);
+}
+
+/* An instance on leased workers; its list of workers is the leader's. */
+static void print_leased(json_object *obj)
+{
+	static const char *const figures[] = { "claim",
+					       "open_requests",
+					       "jobs",
+					       "waiting_tasks",
+					       "running_tasks",
+					       "workers_held",
+					       "workers_usable",
+					       "free_milli",
+					       "breakers_open",
+					       "callers",
+					       "store_failures",
+					       "store_reads_left",
+					       "store_writes_left",
+					       NULL };
+	static const char *const queue_columns[] = { "queue", "service",
+						     "priority", "waiting",
+						     NULL };
+	static const char *const member_columns[] = {
+		"instance",	  "data_centre",  "state",	 "weight",
+		"config_version", "heard_ms_ago", "incarnation", NULL
+	};
+	static const char *const worker_columns[] = {
+		"worker",     "data_centre", "state",	  "breaker",
+		"running",    "used_milli",  "cpu_milli", "speed_percent",
+		"lost_holds", NULL
+	};
+
+	printf("instance %s: ready %s, leads %s, leader %s, configuration %s\n\n",
+	       jsv_text_or(obj, "instance", "-"),
+	       jsv_text_or(obj, "ready", "-"), jsv_text_or(obj, "leads", "-"),
+	       jsv_text_or(obj, "leader", "-"),
+	       jsv_text_or(obj, "config_version", "-"));
+	for (const char *const *f = figures; *f; f++)
+		printf("%-20s%s\n", *f, jsv_text_or(obj, *f, "-"));
+	print_list(obj, "queues", queue_columns);
+	print_list(obj, "members", member_columns);
+	print_list(obj, "workers", worker_columns);
+}
+
 static void print_status(const char *body, bool json)
 {
 	static const char *const member_columns[] = {
@@ -36,23 +89,24 @@
 						      "breaker",     "leaving",
 						      "mean_run_us", NULL };
 	json_object *obj;
-	json_object *list;
 
 	if (json) {
 		puts(body);
 		return;
 	}
 	obj = json_tokener_parse(body);
-	printf("instance %s: ready %s, dispatcher %s, configuration %s\n\n",
+	if (json_object_object_get_ex(obj, "leads", NULL)) {
+		print_leased(obj);
+		json_object_put(obj);
+		return;
+	}
+	printf("instance %s: ready %s, dispatcher %s, configuration %s\n",
 	       jsv_text_or(obj, "instance", "-"),
 	       jsv_text_or(obj, "ready", "-"),
 	       jsv_text_or(obj, "dispatcher", "-"),
 	       jsv_text_or(obj, "config_version", "-"));
-	if (json_object_object_get_ex(obj, "members", &list))
-		print_table(list, member_columns);
-	putchar('\n');
-	if (json_object_object_get_ex(obj, "workers", &list))
-		print_table(list, worker_columns);
+	print_list(obj, "members", member_columns);
+	print_list(obj, "workers", worker_columns);
 	json_object_put(obj);
 }
 
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -7,10 +7,14 @@
 #include "adapters/messages.h"
 #include "adapters/peers.h"
 #include "base/clock.h"
+#include "base/counter.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "base/timer.h"
 #include "core/lease_node.h"
+#include "core/lease_status.h"
+#include "daemon/monitor.h"
 #include "platform/caller_api.h"
 #include "platform/store_sync.h"
 #include "platform/wire_text.h"
@@ -323,7 +327,6 @@
 		.node = &lct->node,
 		.callers_listen = s->callers_listen,
 		.readiness_listen = s->readiness_listen,
-		.metrics_listen = s->metrics_listen,
 		.body_bytes = (size_t)s->callers_body_bytes,
 		.header_bytes = (size_t)s->callers_header_bytes,
 		.connections = (unsigned)s->callers_connections,
@@ -335,6 +338,33 @@
 	return message;
 }
 
+static json_object *show_status(void *ctx)
+{
+	struct lct *lct = ctx;
+	json_object *obj = lnd_status(lct->node, clk_now_ms());
+	struct stc_left left = sts_left(lct->store);
+
+	jsn_add_number(obj, "callers", cap_connections(lct->callers));
+	jsn_add_number(obj, "store_failures", ctr_get(CTR_STORE_FAILURES));
+	jsn_add_number(obj, "store_reads_left",
+		       left.reads > 0 ? (uint64_t)left.reads : 0);
+	jsn_add_number(obj, "store_writes_left",
+		       left.writes > 0 ? (uint64_t)left.writes : 0);
+	return obj;
+}
+
+static bool start_monitor(struct lct *lct)
+{
+	struct mon_options options = {
+		.ev = lct->ev,
+		.listen = lct->settings->metrics_listen,
+		.status = show_status,
+		.ctx = lct,
+	};
+
+	return !options.listen || mon_create(lct, &options);
+}
+
 static void start_store(struct lct *lct)
 {
 	struct sts_options options = {
@@ -367,6 +397,8 @@
 		return message;
 	lct->timers = tmr_create(lct, lct->ev);
 	start_store(lct);
+	if (!start_monitor(lct))
+		return "metrics.listen cannot be listened on";
 	dial_seeds(lct, lct->settings);
 	lct->tick = tmr_subscribe(lct->timers, BUSY_TICK_MS, on_tick, lct);
 	tmr_subscribe(lct->timers, SETTINGS_POLL_MS, poll_settings, lct);
--- a/tests/system/test_leased.py
+++ b/tests/system/test_leased.py
@@ -19,6 +19,7 @@
 
 BUILD = os.environ["BERGAMOT_BUILD"]
 DAEMON = os.path.join(BUILD, "packages/daemon/bergamotd")
+CTL = os.path.join(BUILD, "packages/ctl/bergamotctl")
 INSTANCES = 3
 WORKERS = 4
 
@@ -176,6 +177,33 @@
                                                 job())[0], 200)
         self.assertFalse(self.started("00000000000000a"))
 
+    def status(self, instance, *arguments):
+        return subprocess.run(
+            [CTL, "status", "-a", f"127.0.0.1:{instance.metrics}",
+             *arguments], check=True, capture_output=True,
+            text=True).stdout
+
+    def test_status(self):
+        """Operators see who leads, the workers held, backlog and members."""
+        self.assertEqual(self.instances[0].call("POST", "/q/" + "f" * 16,
+                                                job())[0], 200)
+        leader = self.leader()
+        told = json.loads(self.status(leader, "--json"))
+        self.assertTrue(told["leads"] and told["ready"], told)
+        self.assertEqual(told["workers_usable"], WORKERS)
+        self.assertEqual({w["state"] for w in told["workers"]}, {"held"})
+        self.assertEqual({m["state"] for m in told["members"]}, {"live"})
+        self.assertEqual([q["waiting"] for q in told["queues"]], [0])
+        self.assertGreater(told["store_reads_left"], 0)
+        for instance in self.instances:
+            other = json.loads(self.status(instance, "--json"))
+            self.assertEqual(other["leader"], told["incarnation"])
+        table = self.status(leader)
+        for text in ["leads true", "free_milli", "closed", "e1"]:
+            self.assertIn(text, table)
+        self.assertEqual(leader.call("GET", "/other",
+                                     port=leader.metrics)[0], 404)
+
     def test_config_change(self):
         """A version is in force everywhere within 2 s, also where the store
         turns an instance away, and never reverts."""
