leased workers: three instances a data centre read registrations

Change: the leader and the three largest of each data centre read the list; another one reads it when these are lost, and may lead from then on. The share of a processor is told by all, so that relays and ranks do not depend on who may lead.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -44,6 +44,8 @@
 	struct ldm *ldm = talloc_zero(mem, struct ldm);
 
 	ldm->options = *options;
+	if (!ldm->options.data_centre)
+		ldm->options.data_centre = "";
 	ldm->started_ms = options->now_ms;
 	ldm->leaderless_ms = options->now_ms;
 	talloc_set_destructor(ldm, destroy);
@@ -189,6 +191,7 @@
 	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
 	member->weight = beat->weight;
+	member->share = beat->share;
 	member->stopping = beat->stopping;
 	member->config_version = beat->config_version;
 	if (beat->echo_ms && beat->echo_ms <= now_ms &&
@@ -200,11 +203,6 @@
 		ldm->highest_claim = beat->claim;
 }
 
-uint32_t ldm_share(const struct ldm_member *member)
-{
-	return member->weight % MATURE_WEIGHT;
-}
-
 static uint32_t own_weight(const struct ldm *ldm)
 {
 	return ldm->options.weight + (ldm->mature ? MATURE_WEIGHT : 0);
@@ -216,6 +214,7 @@
 	beat->claim = ldm->claim;
 	beat->highest_claim = ldm->highest_claim;
 	beat->weight = ldm->candidate_ms ? own_weight(ldm) : 0;
+	beat->share = ldm->options.weight;
 	beat->clock_ms = now_ms;
 	beat->echo_ms = member->clock_ms;
 	beat->stopping = ldm->stopping;
@@ -317,6 +316,22 @@
 	return rank;
 }
 
+uint32_t ldm_better_near(const struct ldm *ldm, uint64_t now_ms)
+{
+	const struct ldm_member *m;
+	uint32_t share = ldm->options.weight;
+	uint32_t better = 0;
+
+	for (m = ldm->members; m; m = m->hh.next)
+		if (!m->stopping && ldm_is_live(ldm, m, now_ms) &&
+		    !strcmp(m->data_centre, ldm->options.data_centre) &&
+		    (m->share > share ||
+		     (m->share == share &&
+		      m->incarnation < ldm->options.incarnation)))
+			better++;
+	return better;
+}
+
 static bool has_links(const struct ldm *ldm)
 {
 	const struct ldm_member *m;
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -44,7 +44,8 @@
 	uint64_t valid_until_ms; /* it may count on us until then */
 	uint64_t claim; /* 0: it does not claim to lead */
 	bool resigned; /* gave a claim up by itself */
-	uint32_t weight;
+	uint32_t weight; /* 0: it may not claim */
+	uint32_t share; /* of a processor, in thousandths; 0: not told */
 	bool stopping;
 	uint64_t config_version;
 	uint64_t beat_due_ms;
@@ -53,6 +54,7 @@
 struct ldm_options {
 	uint64_t incarnation;
 	const char *address; /* of our peer links */
+	const char *data_centre;
 	uint32_t weight; /* processor share, in thousandths of a core */
 	uint64_t now_ms;
 };
@@ -86,11 +88,14 @@
 bool ldm_is_live(const struct ldm *ldm, const struct ldm_member *member,
 		 uint64_t now_ms);
 
-/* Its processor share, in thousandths of a core; 0: not told. */
-uint32_t ldm_share(const struct ldm_member *member);
-
 /* Our own state. */
 
+/*
+ * Live members of our data centre with a larger processor share; they are
+ * better placed to keep a view of the workers, and to lead.
+ */
+uint32_t ldm_better_near(const struct ldm *ldm, uint64_t now_ms);
+
 /* Only with a view of the workers may this instance claim. */
 void ldm_set_able(struct ldm *ldm, bool able);
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -12,6 +12,10 @@
 #define PAUSE_MS (LDM_VALID_MS - LDM_BEAT_MS)
 /* Registrations lapse after three heartbeats of 1.5 s at the least. */
 #define FIRST_READ_MS 4000
+/* Instances of a data centre that read the list of workers: a rack may go. */
+#define STANDBYS 3
+#define STANDBY_SLACK 2 /* they stay it for so many more: no flapping */
+#define STANDBY_LOOK_MS 200 /* after the start, other instances have told */
 /* A leader's next beat comes at its idle loop's pace, and takes its way. */
 #define HOLD_BACK_MS 400
 
@@ -75,6 +79,22 @@
 	lnd_reassign(lnd, now_ms);
 }
 
+static void review_standby(struct lnd *lnd, uint64_t now_ms)
+{
+	uint32_t better = ldm_better_near(lnd->members, now_ms);
+	uint32_t most = STANDBYS + (lnd->standby ? STANDBY_SLACK : 0);
+	bool wanted = lnd->claim || better < most;
+
+	if (wanted == lnd->standby ||
+	    now_ms - lnd->options.now_ms < STANDBY_LOOK_MS)
+		return;
+	lnd->standby = wanted;
+	log_info(LOG_MEMBER,
+		 "%s the list of workers: %u instances of this data centre "
+		 "are larger",
+		 wanted ? "reads" : "no longer reads", better);
+}
+
 static void decide(struct lnd *lnd, uint64_t now_ms)
 {
 	ldm_decide(lnd->members, now_ms, lnd->ports->wall_ms(lnd->ports->ctx));
@@ -110,6 +130,7 @@
 		       lnd->workers_read_ms &&
 			       now_ms - lnd->workers_read_ms >= LPL_DOUBT_MS);
 	decide(lnd, now_ms);
+	review_standby(lnd, now_ms);
 	take_back(lnd, now_ms);
 	lnd_send_beats(lnd, now_ms);
 	rly_tick(lnd->relay, now_ms);
@@ -159,6 +180,18 @@
 
 /* Workers */
 
+bool lnd_wants_workers(const struct lnd *lnd)
+{
+	return lnd->standby;
+}
+
+void lnd_workers_dropped(struct lnd *lnd)
+{
+	lnd->workers_read_ms = 0;
+	lpl_list_dropped(ldp_pool(lnd->dispatch));
+	ldm_set_able(lnd->members, false);
+}
+
 void lnd_worker_listed(struct lnd *lnd, const struct lpl_entry *entry,
 		       uint64_t now_ms)
 {
@@ -351,6 +384,7 @@
 	struct ldm_options members = {
 		.incarnation = options->incarnation,
 		.address = options->address,
+		.data_centre = options->data_centre,
 		.weight = options->weight,
 		.now_ms = options->now_ms,
 	};
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -46,6 +46,7 @@
 struct lnd_options {
 	const struct lnd_ports *ports;
 	const char *instance;
+	const char *data_centre;
 	const char *address; /* of our peer links */
 	uint64_t incarnation;
 	uint64_t seed;
@@ -88,7 +89,13 @@
 		     uint64_t now_ms);
 const struct qcf *lnd_config(const struct lnd *lnd);
 
-/* Workers. */
+/*
+ * Workers. Their registrations change all the time, so that on a large site
+ * only some instances read them: the leader and those that may lead next.
+ */
+bool lnd_wants_workers(const struct lnd *lnd);
+/* Reading has ended: what is known of the list is not to be trusted on. */
+void lnd_workers_dropped(struct lnd *lnd);
 void lnd_worker_listed(struct lnd *lnd, const struct lpl_entry *entry,
 		       uint64_t now_ms);
 void lnd_worker_gone(struct lnd *lnd, const char *id, uint64_t now_ms);
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -175,6 +175,11 @@
 		lpl->list_read_ms = now_ms;
 }
 
+void lpl_list_dropped(struct lpl *lpl)
+{
+	lpl->list_read_ms = 0;
+}
+
 bool lpl_all_held(const struct lpl *lpl, uint64_t since_ms, uint64_t now_ms)
 {
 	const struct lpl_worker *worker;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -243,6 +243,9 @@
 /* The list of registrations was read in whole for the first time. */
 void lpl_list_read(struct lpl *lpl, uint64_t now_ms);
 
+/* The list is no longer read; it counts as read anew when it is. */
+void lpl_list_dropped(struct lpl *lpl);
+
 /* Registrations, whether this instance leads or not. */
 void lpl_take_entry(struct lpl *lpl, const struct lpl_entry *entry,
 		    uint64_t now_ms);
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -95,15 +95,15 @@
 	size_t count = 0;
 
 	for (m = ldm_members(rly->options.members); m; m = m->hh.next)
-		if (ldm_share(m) > largest)
-			largest = ldm_share(m);
+		if (m->share > largest)
+			largest = m->share;
 	for (m = ldm_members(rly->options.members); m; m = m->hh.next) {
-		if (m->stopping || !ldm_share(m) || count == RCH_MAX ||
+		if (m->stopping || !m->share || count == RCH_MAX ||
 		    !ldm_is_live(rly->options.members, m, rly->now_ms) ||
-		    ldm_share(m) * 100 < largest * LEAST_SHARE_PERCENT)
+		    m->share * 100 < largest * LEAST_SHARE_PERCENT)
 			continue;
 		found[count].incarnation = m->incarnation;
-		found[count].weight = ldm_share(m);
+		found[count].weight = m->share;
 		found[count++].data_centre = m->data_centre;
 	}
 	return count;
--- a/packages/core/lease_state.h
+++ b/packages/core/lease_state.h
@@ -59,6 +59,7 @@
 	uint64_t active_ms; /* when it last ran */
 	uint64_t raised_ms; /* last time the claim was raised */
 	uint64_t addresses_due_ms; /* next beats that carry addresses */
+	bool standby; /* reads the list of workers, to lead when needed */
 	uint64_t workers_read_ms; /* the list, first; 0: not yet */
 	bool run_due; /* answers of relays may have freed workers */
 	bool stopping;
--- a/packages/core/lease_status.c
+++ b/packages/core/lease_status.c
@@ -43,7 +43,7 @@
 			     member_word(lnd->members, m, now_ms));
 		add_hex(obj, "incarnation", m->incarnation);
 		jsn_add_number(obj, "claim", m->claim);
-		jsn_add_number(obj, "weight", ldm_share(m));
+		jsn_add_number(obj, "weight", m->share);
 		jsn_add_number(obj, "config_version", m->config_version);
 		jsn_add_number(obj, "heard_ms_ago",
 			       m->heard_ms ? now_ms - m->heard_ms : 0);
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -2,6 +2,8 @@
  * Who leads: claims rise and are unlike, so that two instances never lead with
  * one fencing token; a wrong view heals when links are back.
  */
+#include <stdio.h>
+
 #include "base/tests/run_suite.h"
 #include "core/leader_member.h"
 
@@ -265,11 +267,56 @@
 }
 END_TEST
 
+static void hear(struct ldm *ldm, uint64_t who, const char *data_centre,
+		 uint32_t share, bool stopping)
+{
+	Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
+	Bergamot__LeaderBeat msg = BERGAMOT__LEADER_BEAT__INIT;
+	char name[24];
+
+	snprintf(name, sizeof(name), "m%llu", (unsigned long long)who);
+	hello.incarnation = who;
+	hello.instance = hello.address = name;
+	hello.data_centre = (char *)data_centre;
+	ldm_link_up(ldm, &hello, now_ms);
+	msg.share = share;
+	msg.stopping = stopping;
+	ldm_take_beat(ldm, who, &msg, now_ms);
+}
+
+/* Who keeps a view of the workers: also those that may not claim count. */
+START_TEST(test_better_near)
+{
+	struct ldm_options options = {
+		.incarnation = 50,
+		.address = "x",
+		.data_centre = "d1",
+		.weight = 300,
+		.now_ms = now_ms,
+	};
+	struct ldm *ldm = ldm_create(NULL, &options);
+
+	ck_assert_uint_eq(ldm_better_near(ldm, now_ms), 0);
+	hear(ldm, 10, "d1", 500, false); /* larger */
+	hear(ldm, 11, "d1", 300, false); /* as large, and before us */
+	hear(ldm, 60, "d1", 300, false); /* as large, and after us */
+	hear(ldm, 12, "d1", 90, false);
+	hear(ldm, 13, "d2", 500, false); /* elsewhere */
+	hear(ldm, 14, "d1", 500, true); /* about to end */
+	ck_assert_uint_eq(ldm_better_near(ldm, now_ms), 2);
+	ldm_link_down(ldm, 10, now_ms);
+	ck_assert_uint_eq(ldm_better_near(ldm, now_ms), 1);
+	now_ms += 60000; /* the other is silent */
+	ck_assert_uint_eq(ldm_better_near(ldm, now_ms), 0);
+	talloc_free(ldm);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("leader_member", set_up, tear_down, test_one_leads,
 			test_no_wait_for_one_that_has_just_started,
 			test_outranked_by_one_that_is_lost, test_claims_at_once,
 			test_cut_and_healed, test_stop,
-			test_stop_keeps_entries_valid);
+			test_stop_keeps_entries_valid, test_better_near);
 }
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -129,7 +129,7 @@
 	hello.address = name;
 	hello.data_centre = "a";
 	hello.incarnation = incarnation;
-	beat.weight = weight;
+	beat.weight = beat.share = weight;
 	ldm_link_up(members, &hello, now_ms);
 	ldm_take_beat(members, incarnation, &beat, now_ms);
 }
@@ -192,7 +192,7 @@
 		Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
 
 		now_ms += 10;
-		beat.weight = 500;
+		beat.weight = beat.share = 500;
 		ldm_take_beat(members, 2, &beat, now_ms);
 		rly_tick(leader.rly, now_ms);
 		lpl_tick(pool, now_ms);
@@ -331,7 +331,7 @@
 	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
 	uint64_t first;
 
-	beat.weight = 500;
+	beat.weight = beat.share = 500;
 	add_member(3, 500);
 	pass(110);
 	lpl_lead(pool, 5, now_ms);
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -300,6 +300,7 @@
 	struct lnd_options options = {
 		.ports = &lct->ports,
 		.instance = s->instance,
+		.data_centre = s->data_centre,
 		.address = s->peers_listen,
 		.incarnation = lct->incarnation,
 		.seed = rnd_identity(),
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3726,7 +3726,7 @@
   (ProtobufCMessageInit) bergamot__queue_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[10] =
 {
   {
     "claim",
@@ -3836,6 +3836,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LeaderBeat, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = addresses */
@@ -3844,6 +3856,7 @@
   6,   /* field[6] = config_version */
   4,   /* field[4] = echo_ms */
   1,   /* field[1] = highest_claim */
+  9,   /* field[9] = share */
   5,   /* field[5] = stopping */
   7,   /* field[7] = waiting */
   2,   /* field[2] = weight */
@@ -3851,7 +3864,7 @@
 static const ProtobufCIntRange bergamot__leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bergamot__leader_beat__descriptor =
 {
@@ -3861,7 +3874,7 @@
   "Bergamot__LeaderBeat",
   "bergamot",
   sizeof(Bergamot__LeaderBeat),
-  9,
+  10,
   bergamot__leader_beat__field_descriptors,
   bergamot__leader_beat__field_indices_by_name,
   1,  bergamot__leader_beat__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -554,7 +554,8 @@
    */
   uint64_t highest_claim;
   /*
-   * Processor share of the sender's machine, in thousandths of a core.
+   * Processor share of the sender's machine, in thousandths of a core, raised
+   * where it has known the workers for long; 0 while it may not claim.
    */
   uint32_t weight;
   /*
@@ -574,10 +575,14 @@
    */
   size_t n_addresses;
   char **addresses;
+  /*
+   * The share alone, also of one that may not claim.
+   */
+  uint32_t share;
 };
 #define BERGAMOT__LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__leader_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/tests/system/leased_standins.py
+++ b/tests/system/leased_standins.py
@@ -79,6 +79,7 @@
         self.revision = 1
         self.down = False
         self.fault = None
+        self.most_events = 300  # in one answer to a watch
         super().__init__(port)
 
     def put(self, key, value, lease=0):
@@ -147,6 +148,9 @@
             while not found() and time.monotonic() < end:
                 self.lock.wait(max(0, end - time.monotonic()))
             events, revision = found(), self.revision
+        if len(events) > self.most_events:
+            events = events[:self.most_events]
+            revision = events[-1]["rev"]
         request.reply(200, {"events": events, "current_rev": revision})
 
 
--- a/tests/system/test_leased.py
+++ b/tests/system/test_leased.py
@@ -25,7 +25,7 @@
 
 
 class Instance:
-    def __init__(self, name, folder, store, seeds, ports):
+    def __init__(self, name, folder, store, seeds, ports, **more):
         self.front, self.ready, self.peers, self.metrics = ports
         self.path = os.path.join(folder, name + ".json")
         with open(self.path, "w", encoding="ascii") as file:
@@ -37,7 +37,7 @@
                 "peers": {"listen": f"127.0.0.1:{self.peers}",
                           "seeds": seeds},
                 "store": {"address": store.address},
-                "log": {"file": "stdout"}}, file)
+                "log": {"file": "stdout"}, **more}, file)
         self.log = open(self.path + ".log", "ab")
         self.start()
 
@@ -204,6 +204,34 @@
         self.assertEqual(leader.call("GET", "/other",
                                      port=leader.metrics)[0], 404)
 
+    def readers(self):
+        """Instances that know the workers."""
+        return [i for i in self.instances if i.process.poll() is None and
+                json.loads(self.status(i, "--json"))["workers"]]
+
+    def test_standbys(self):
+        """Not all of many instances read the workers' registrations; when
+        all that do are lost, others read them and lead."""
+        wait_for("the first to read them",
+                 lambda: len(self.readers()) == INSTANCES)
+        ports = free_ports(16)
+        seeds = [f"127.0.0.1:{i.peers}" for i in self.instances]
+        for name in ["f0", "f1", "f2", "f3"]:
+            # Their processor share is smaller than that of the first.
+            self.instances.append(
+                Instance(name, self.folder, self.store, seeds,
+                         [ports.pop() for _ in range(4)],
+                         machine={"cores": 0.1}))
+        wait_for("all to be ready", self.all_ready)
+        time.sleep(1.5)  # a watch of registrations comes back meanwhile
+        self.assertEqual(self.readers(), self.instances[:INSTANCES])
+        for instance in self.instances[:INSTANCES]:
+            instance.process.kill()
+        wait_for("another leader", lambda: self.instances[-1].call(
+            "POST", "/q/" + "7" * 16, job())[0] == 200)
+        self.assertEqual(len(self.readers()), 3)
+        self.check_runs()
+
     def test_config_change(self):
         """A version is in force everywhere within 2 s, also where the store
         turns an instance away, and never reverts."""
@@ -306,6 +334,20 @@
         self.assertEqual(self.instances[0].call("POST", "/q/" + "1" * 16,
                                                 job())[0], 200)
 
+    def test_draining_among_many_changes(self):
+        """A leaving worker is left alone within 2 s, however many other
+        registrations change meanwhile: one answer does not hold all."""
+        worker = self.workers[0]
+        for _ in range(10):
+            for i in range(300):
+                self.store.put(f"servers/other-{i}", "{}")
+        worker.register(self.store, "draining")
+        time.sleep(2)
+        self.assertEqual(self.instances[1].call("POST", "/q/" + "6" * 16,
+                                                job(tasks=8))[0], 200)
+        self.assertFalse([task for task, *_ in worker.history
+                          if task.startswith("6" * 16)])
+
     def test_draining_worker(self):
         """A worker that leaves gets no start 2 s after it has said so, also
         of an instance that leads since."""
