leader: at the start the second candidate waits for the best

Cause: test_status saw two leaders. A candidate's wait by rank counted from the time since when nobody led, which at a start is the start itself: when all became candidates, 400 ms later, the second one's 620 ms were up with the best one's 600, and both claimed at the next tick (logs of 3 instances: claims at 640 and 641 ms). The lower claim gave up within a beat; workers changed hands twice. Ruled out: lost beats (each had told its share 200 ms before). Change: the wait by rank also counts from the own candidacy.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -361,12 +361,13 @@
 static bool may_claim(struct ldm *ldm, uint64_t now_ms)
 {
 	uint64_t wait_ms = ldm->resigned ? 0 : CLAIM_WAIT_MS;
+	uint64_t rank_ms = (uint64_t)rank_of_self(ldm, now_ms) * RANK_WAIT_MS;
 
+	/* Better ones may have become candidates as late as we have. */
 	if (!ldm->candidate_ms ||
-	    now_ms - ldm->candidate_ms < CANDIDATE_WAIT_MS)
+	    now_ms - ldm->candidate_ms < CANDIDATE_WAIT_MS + rank_ms)
 		return false;
-	wait_ms += (uint64_t)rank_of_self(ldm, now_ms) * RANK_WAIT_MS;
-	return now_ms - ldm->leaderless_ms >= wait_ms;
+	return now_ms - ldm->leaderless_ms >= wait_ms + rank_ms;
 }
 
 /* Like claims, which are rare, are told apart by their owners. */
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -119,6 +119,28 @@
 }
 END_TEST
 
+/*
+ * All start at once and look at the idle loop's pace: the second-best candidate
+ * waits for the best, however long nobody has led.
+ */
+START_TEST(test_start_at_once)
+{
+	join_all();
+	now_ms += 40;
+	for (int tick = 0; tick < 30; tick++) {
+		now_ms += 100;
+		for (int i = 0; i < COUNT; i++)
+			ldm_decide(members[i], now_ms, WALL_MS);
+		ck_assert_int_le(leaders(), 1);
+		for (int i = 0; i < COUNT; i++)
+			for (int j = 0; j < COUNT; j++)
+				if (i != j)
+					beat(i, j);
+	}
+	ck_assert_int_eq(leaders(), 1);
+}
+END_TEST
+
 /*
  * One that has just started would be the best candidate, but does not claim
  * yet: the others do not wait for it when the leader resigns.
@@ -315,6 +337,7 @@
 int main(void)
 {
 	return RUN_CASE("leader_member", set_up, tear_down, test_one_leads,
+			test_start_at_once,
 			test_no_wait_for_one_that_has_just_started,
 			test_outranked_by_one_that_is_lost, test_claims_at_once,
 			test_cut_and_healed, test_stop,
