leader: one that cannot keep up gives up its claim

Change: base/loop_lag measures how long a byte through a pipe waits for its turn in the loop (0 to 1 ms on healthy leaders, 50 to 4,000 on slow ones). Over 30 ms at the median in two windows of 200 ms the leader gives up and does not claim for 10 s, unless nobody else may, or two others gave up already. A candidate does not know that it is slow itself: it may lead for half a second.

--- /dev/null
+++ b/packages/base/tests/test_loop_lag.c
@@ -0,0 +1,114 @@
+/*
+ * What waits in front of a loop is seen while timers still run in time.
+ */
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/loop_lag.h"
+#include "base/tests/run_suite.h"
+
+#define BUSY_FDS 20
+#define BUSY_MS 5 /* that each takes: a turn of all is 100 ms */
+
+struct fixture {
+	struct tevent_context *ev;
+	struct tmr *timers;
+	uint64_t measured;
+	uint64_t longest_ms;
+	bool wanted;
+};
+
+static struct fixture *f;
+
+static bool is_wanted(void *ctx)
+{
+	(void)ctx;
+	return f->wanted;
+}
+
+static void measured(void *ctx, uint64_t lag_ms, uint64_t now_ms)
+{
+	(void)ctx;
+	(void)now_ms;
+	f->measured++;
+	if (lag_ms > f->longest_ms)
+		f->longest_ms = lag_ms;
+}
+
+static void set_up(void)
+{
+	struct llg_options options = {
+		.every_ms = 10,
+		.wanted = is_wanted,
+		.measured = measured,
+	};
+
+	f = talloc_zero(NULL, struct fixture);
+	f->wanted = true;
+	options.ev = f->ev = tevent_context_init(f);
+	options.timers = f->timers = tmr_create(f, f->ev);
+	ck_assert_ptr_nonnull(llg_create(f, &options));
+}
+
+static void tear_down(void)
+{
+	talloc_free(f);
+}
+
+static void run(uint64_t ms)
+{
+	uint64_t until_ms = clk_now_ms() + ms;
+
+	while (clk_now_ms() < until_ms)
+		ck_assert_int_eq(tevent_loop_once(f->ev), 0);
+}
+
+/* A descriptor that is always readable, and takes its time. */
+static void on_busy(struct tevent_context *ev, struct tevent_fd *fde,
+		    uint16_t flags, void *private_data)
+{
+	uint64_t until_us = clk_now_us() + BUSY_MS * 1000;
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	(void)private_data;
+	while (clk_now_us() < until_us)
+		;
+}
+
+START_TEST(test_idle_loop)
+{
+	run(300);
+	ck_assert_uint_gt(f->measured, 2);
+}
+END_TEST
+
+START_TEST(test_busy_loop)
+{
+	int fds[2];
+
+	ck_assert_int_eq(pipe(fds), 0);
+	ck_assert_int_eq(write(fds[1], "", 1), 1);
+	for (int i = 0; i < BUSY_FDS; i++)
+		tevent_add_fd(f->ev, f, dup(fds[0]), TEVENT_FD_READ, on_busy,
+			      NULL);
+	run(1000);
+	ck_assert_uint_gt(f->measured, 2);
+	ck_assert_uint_ge(f->longest_ms, 50);
+}
+END_TEST
+
+START_TEST(test_not_wanted)
+{
+	f->wanted = false;
+	run(100);
+	ck_assert_uint_eq(f->measured, 0);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("loop_lag", set_up, tear_down, test_idle_loop,
+			test_busy_loop, test_not_wanted);
+}
--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -1,6 +1,7 @@
 #include "core/leader_member.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -16,6 +17,18 @@
 /* Of a claim; with the milliseconds since 1970 it stays below 2^53. */
 #define OWN_BITS 11
 #define MATURE_WEIGHT 1000000 /* above all shares, in thousandths */
+/*
+ * Starts are given up as not answered after 75 ms, and short tasks have some 60
+ * ms to spare: a leader in front of which messages wait longer serves nobody.
+ */
+#define LAG_MS 30
+#define LAG_WINDOW_MS 200
+#define LAG_WINDOWS 2 /* in a row: a pause of the process shows in one */
+#define LAG_COUNT 16 /* measured in a window, at the most */
+/* A slow machine stays slow for seconds; then it may lead again. */
+#define OVERLOADED_MS 10000
+/* Where so many others could not keep up either, the load is the cause. */
+#define MOST_OVERLOADED 2
 #define FORGET_MS 30000 /* a lost member counts for majorities so long */
 
 struct ldm {
@@ -31,6 +44,14 @@
 	uint64_t candidate_ms; /* may claim since then; 0: may not */
 	bool mature;
 	bool stopping;
+	uint64_t claimed_ms;
+	struct {
+		uint64_t until_ms;
+		uint32_t waits_ms[LAG_COUNT]; /* as measured */
+		uint32_t count;
+		uint32_t slow; /* windows in a row */
+	} lag;
+	uint64_t overloaded_until_ms; /* 0: not */
 };
 
 static int destroy(struct ldm *ldm)
@@ -169,6 +190,13 @@
 
 /* Beats */
 
+void ldm_note_lag(struct ldm *ldm, uint64_t lag_ms)
+{
+	if (ldm->claim)
+		ldm->lag.waits_ms[ldm->lag.count++ % LAG_COUNT] =
+			(uint32_t)lag_ms;
+}
+
 void ldm_take_beat(struct ldm *ldm, uint64_t incarnation,
 		   const Bergamot__LeaderBeat *beat, uint64_t now_ms)
 {
@@ -193,6 +221,7 @@
 	member->weight = beat->weight;
 	member->share = beat->share;
 	member->stopping = beat->stopping;
+	member->overloaded = beat->overloaded;
 	member->config_version = beat->config_version;
 	if (beat->echo_ms && beat->echo_ms <= now_ms &&
 	    beat->echo_ms + LDM_VALID_MS > member->valid_until_ms)
@@ -214,7 +243,8 @@
 	beat->claim = ldm->claim;
 	beat->highest_claim = ldm->highest_claim;
 	beat->weight = ldm->candidate_ms ? own_weight(ldm) : 0;
-	beat->share = ldm->options.weight;
+	beat->share = ldm->overloaded_until_ms ? 0 : ldm->options.weight;
+	beat->overloaded = ldm->overloaded_until_ms != 0;
 	beat->clock_ms = now_ms;
 	beat->echo_ms = member->clock_ms;
 	beat->stopping = ldm->stopping;
@@ -277,6 +307,8 @@
 void ldm_raise(struct ldm *ldm, uint64_t now_ms, uint64_t wall_ms)
 {
 	ldm->claim = next_claim(ldm, wall_ms);
+	ldm->claimed_ms = now_ms;
+	memset(&ldm->lag, 0, sizeof(ldm->lag));
 	ldm->highest_claim = ldm->claim;
 	ldm->leader = ldm->options.incarnation;
 	ldm->leaderless_ms = 0;
@@ -349,7 +381,7 @@
 static void review_candidacy(struct ldm *ldm, uint64_t now_ms)
 {
 	uint64_t start_ms = has_links(ldm) ? START_WAIT_MS : LONE_START_WAIT_MS;
-	bool may = ldm->able && !ldm->stopping &&
+	bool may = ldm->able && !ldm->stopping && !ldm->overloaded_until_ms &&
 		   now_ms - ldm->started_ms >= start_ms;
 
 	if (may == (ldm->candidate_ms != 0))
@@ -390,12 +422,76 @@
 	return best;
 }
 
+/* Could another member do better, and have not too many tried already? */
+static bool may_hand_over(struct ldm *ldm, uint64_t now_ms)
+{
+	const struct ldm_member *m;
+	uint32_t candidates = 0;
+	uint32_t overloaded = 0;
+
+	for (m = ldm->members; m; m = m->hh.next) {
+		if (!ldm_is_live(ldm, m, now_ms) || m->stopping)
+			continue;
+		candidates += m->weight != 0;
+		overloaded += m->overloaded;
+	}
+	return candidates && overloaded < MOST_OVERLOADED;
+}
+
+static int compare_waits(const void *a, const void *b)
+{
+	uint32_t wait_a = *(const uint32_t *)a;
+	uint32_t wait_b = *(const uint32_t *)b;
+
+	return (wait_a > wait_b) - (wait_a < wait_b);
+}
+
+static uint32_t median_wait(struct ldm *ldm)
+{
+	uint32_t *waits_ms = ldm->lag.waits_ms;
+	uint32_t count =
+		ldm->lag.count < LAG_COUNT ? ldm->lag.count : LAG_COUNT;
+
+	qsort(waits_ms, count, sizeof(*waits_ms), compare_waits);
+	return count ? waits_ms[count / 2] : 0;
+}
+
+/* Gives up a claim where messages wait in front of us for too long. */
+static void review_lag(struct ldm *ldm, uint64_t now_ms)
+{
+	uint32_t median_ms;
+
+	if (ldm->overloaded_until_ms && ldm->overloaded_until_ms <= now_ms)
+		ldm->overloaded_until_ms = 0;
+	if (!ldm->claim || now_ms < ldm->lag.until_ms)
+		return;
+	ldm->lag.until_ms = now_ms + LAG_WINDOW_MS;
+	median_ms = median_wait(ldm);
+	ldm->lag.count = 0;
+	ldm->lag.slow = median_ms > LAG_MS ? ldm->lag.slow + 1 : 0;
+	if (ldm->lag.slow < LAG_WINDOWS || !may_hand_over(ldm, now_ms))
+		return;
+	log_warning(LOG_MEMBER,
+		    "gives up claim %" PRIu64 ": messages wait for %u ms here "
+		    "(limit %d ms)",
+		    ldm->claim, median_ms, LAG_MS);
+	ldm->claim = 0;
+	ldm->overloaded_until_ms = now_ms + OVERLOADED_MS;
+	beat_at_once(ldm);
+}
+
+bool ldm_is_overloaded(const struct ldm *ldm)
+{
+	return ldm->overloaded_until_ms != 0;
+}
+
 void ldm_decide(struct ldm *ldm, uint64_t now_ms, uint64_t wall_ms)
 {
 	const struct ldm_member *best = highest(ldm, now_ms);
 	uint64_t before = ldm->leader;
 
 	forget_lost(ldm, now_ms);
+	review_lag(ldm, now_ms);
 	review_candidacy(ldm, now_ms);
 	if (ldm->claim && best &&
 	    is_above(best->claim, best->incarnation, ldm->claim,
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -19,6 +19,9 @@
  * Each side knows until when the other surely counts it as live: beats return
  * the receiver's own clock, so that delayed beats prolong nothing.
  *
+ * A leader that cannot keep up, on a machine that has become slow, gives up for
+ * another one.
+ *
  * Not core/membership.h: that one serves ids bound to their owners, with one
  * heartbeat a second.
  */
@@ -47,6 +50,7 @@
 	uint32_t weight; /* 0: it may not claim */
 	uint32_t share; /* of a processor, in thousandths; 0: not told */
 	bool stopping;
+	bool overloaded; /* gave up leading: it could not keep up */
 	uint64_t config_version;
 	uint64_t beat_due_ms;
 };
@@ -114,6 +118,12 @@
  */
 void ldm_decide(struct ldm *ldm, uint64_t now_ms, uint64_t wall_ms);
 
+/* How long messages have waited in front of this instance, measured anew. */
+void ldm_note_lag(struct ldm *ldm, uint64_t lag_ms);
+
+/* Did this instance give up leading lately, since it could not keep up? */
+bool ldm_is_overloaded(const struct ldm *ldm);
+
 /* Our claim, 0 when we do not lead. */
 uint64_t ldm_claim(const struct ldm *ldm);
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -83,7 +83,8 @@
 {
 	uint32_t better = ldm_better_near(lnd->members, now_ms);
 	uint32_t most = STANDBYS + (lnd->standby ? STANDBY_SLACK : 0);
-	bool wanted = lnd->claim || better < most;
+	bool wanted = lnd->claim ||
+		      (better < most && !ldm_is_overloaded(lnd->members));
 
 	if (wanted == lnd->standby ||
 	    now_ms - lnd->options.now_ms < STANDBY_LOOK_MS)
@@ -257,6 +258,11 @@
 	ldp_run(lnd->dispatch, now_ms);
 }
 
+void lnd_note_lag(struct lnd *lnd, uint64_t lag_ms)
+{
+	ldm_note_lag(lnd->members, lag_ms);
+}
+
 /* Members */
 
 void lnd_member_listed(struct lnd *lnd, const char *address)
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -109,6 +109,9 @@
 		       const struct lpl_reply *reply,
 		       const struct lpl_lists *lists, uint64_t now_ms);
 
+/* How long what arrives waits here until it is read, measured while leading. */
+void lnd_note_lag(struct lnd *lnd, uint64_t lag_ms);
+
 /* Members. */
 void lnd_member_listed(struct lnd *lnd, const char *address);
 void lnd_peer_up(struct lnd *lnd, const Bergamot__Hello *hello,
--- a/packages/core/lease_status.c
+++ b/packages/core/lease_status.c
@@ -23,6 +23,8 @@
 {
 	if (m->stopping)
 		return "stopping";
+	if (m->overloaded)
+		return "overloaded";
 	return ldm_is_live(members, m, now_ms) ? "live"
 	       : m->linked		       ? "silent"
 					       : "lost";
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -289,6 +289,78 @@
 }
 END_TEST
 
+static int find_leader(void)
+{
+	for (int i = 0; i < COUNT; i++)
+		if (ldm_claim(members[i]))
+			return i;
+	return -1;
+}
+
+/* Beats and decisions, while messages wait in front of one. */
+static void pass_with_slow(int slow, uint64_t lag_ms, uint64_t ms)
+{
+	for (uint64_t t = 0; t < ms; t += 20) {
+		ldm_note_lag(members[slow], lag_ms);
+		pass(20);
+	}
+}
+
+/*
+ * Messages wait in front of the leader, whose machine has become slow: another
+ * one leads within a second, and it does not come back at once.
+ */
+START_TEST(test_slow_leader_gives_up)
+{
+	int slow;
+
+	join_all();
+	pass(3000);
+	slow = find_leader();
+	pass_with_slow(slow, 20, 3000); /* not slow enough */
+	ck_assert_int_eq(find_leader(), slow);
+	pass_with_slow(slow, 100, 1000);
+	ck_assert_int_eq(leaders(), 1);
+	ck_assert_int_ne(find_leader(), slow);
+	ck_assert(ldm_is_overloaded(members[slow]));
+	pass(15000);
+	ck_assert(!ldm_is_overloaded(members[slow]));
+	ck_assert_int_eq(leaders(), 1);
+}
+END_TEST
+
+/* A pause of the process shows once, and is no reason. */
+START_TEST(test_pause_is_not_slow)
+{
+	int slow;
+
+	join_all();
+	pass(3000);
+	slow = find_leader();
+	ldm_note_lag(members[slow], 3000); /* the byte that waited all along */
+	ldm_note_lag(members[slow], 3000);
+	pass_with_slow(slow, 0, 2000);
+	ck_assert_int_eq(find_leader(), slow);
+}
+END_TEST
+
+/* Nobody else may lead, or others could not keep up either: it stays. */
+START_TEST(test_slow_leader_stays)
+{
+	int slow;
+
+	join_all();
+	pass(3000);
+	slow = find_leader();
+	for (int i = 0; i < COUNT; i++)
+		if (i != slow)
+			ldm_set_able(members[i], false);
+	pass(200);
+	pass_with_slow(slow, 800, 5000);
+	ck_assert_int_eq(find_leader(), slow);
+}
+END_TEST
+
 static void hear(struct ldm *ldm, uint64_t who, const char *data_centre,
 		 uint32_t share, bool stopping)
 {
@@ -336,10 +408,11 @@
 
 int main(void)
 {
-	return RUN_CASE("leader_member", set_up, tear_down, test_one_leads,
-			test_start_at_once,
-			test_no_wait_for_one_that_has_just_started,
-			test_outranked_by_one_that_is_lost, test_claims_at_once,
-			test_cut_and_healed, test_stop,
-			test_stop_keeps_entries_valid, test_better_near);
+	return RUN_CASE(
+		"leader_member", set_up, tear_down, test_one_leads,
+		test_start_at_once, test_no_wait_for_one_that_has_just_started,
+		test_outranked_by_one_that_is_lost, test_claims_at_once,
+		test_cut_and_healed, test_stop, test_stop_keeps_entries_valid,
+		test_better_near, test_slow_leader_gives_up,
+		test_pause_is_not_slow, test_slow_leader_stays);
 }
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -10,6 +10,7 @@
 #include "base/counter.h"
 #include "base/json_text.h"
 #include "base/log.h"
+#include "base/loop_lag.h"
 #include "base/random.h"
 #include "base/timer.h"
 #include "core/lease_node.h"
@@ -23,6 +24,7 @@
 
 #define BUSY_TICK_MS 20 /* while a job is open; a stop takes longer */
 #define IDLE_TICK_MS 100 /* beats are due every 120 ms */
+#define LAG_EVERY_MS 25 /* some in each of the leader's windows (200 ms) */
 #define SETTINGS_POLL_MS 2000 /* the file may change without a signal */
 /* The balancer asks every second and believes the second refusal. */
 #define BALANCER_MS 2500
@@ -366,6 +368,35 @@
 	return !options.listen || mon_create(lct, &options);
 }
 
+static bool lag_is_wanted(void *ctx)
+{
+	struct lct *lct = ctx;
+
+	return lnd_leads(lct->node);
+}
+
+static void on_lag(void *ctx, uint64_t lag_ms, uint64_t now_ms)
+{
+	struct lct *lct = ctx;
+
+	(void)now_ms;
+	lnd_note_lag(lct->node, lag_ms);
+}
+
+static bool start_lag(struct lct *lct)
+{
+	struct llg_options options = {
+		.ev = lct->ev,
+		.timers = lct->timers,
+		.every_ms = LAG_EVERY_MS,
+		.wanted = lag_is_wanted,
+		.measured = on_lag,
+		.ctx = lct,
+	};
+
+	return llg_create(lct, &options) != NULL;
+}
+
 static void start_store(struct lct *lct)
 {
 	struct sts_options options = {
@@ -400,6 +431,8 @@
 	start_store(lct);
 	if (!start_monitor(lct))
 		return "metrics.listen cannot be listened on";
+	if (!start_lag(lct))
+		return "no descriptors are left";
 	dial_seeds(lct, lct->settings);
 	lct->tick = tmr_subscribe(lct->timers, BUSY_TICK_MS, on_tick, lct);
 	tmr_subscribe(lct->timers, SETTINGS_POLL_MS, poll_settings, lct);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3726,7 +3726,7 @@
   (ProtobufCMessageInit) bergamot__queue_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[11] =
 {
   {
     "claim",
@@ -3848,6 +3848,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overloaded",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LeaderBeat, overloaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = addresses */
@@ -3856,6 +3868,7 @@
   6,   /* field[6] = config_version */
   4,   /* field[4] = echo_ms */
   1,   /* field[1] = highest_claim */
+  10,   /* field[10] = overloaded */
   9,   /* field[9] = share */
   5,   /* field[5] = stopping */
   7,   /* field[7] = waiting */
@@ -3864,7 +3877,7 @@
 static const ProtobufCIntRange bergamot__leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bergamot__leader_beat__descriptor =
 {
@@ -3874,7 +3887,7 @@
   "Bergamot__LeaderBeat",
   "bergamot",
   sizeof(Bergamot__LeaderBeat),
-  10,
+  11,
   bergamot__leader_beat__field_descriptors,
   bergamot__leader_beat__field_indices_by_name,
   1,  bergamot__leader_beat__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -579,10 +579,14 @@
    * The share alone, also of one that may not claim.
    */
   uint32_t share;
+  /*
+   * The sender gave up leading, since it could not keep up.
+   */
+  protobuf_c_boolean overloaded;
 };
 #define BERGAMOT__LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__leader_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
