relay: routes to workers that are gone are forgotten

Change: one that no call is pending on and that was not used for a minute goes; a worker that is there is looked at every 5 s.

--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -18,6 +18,9 @@
 /* So many calls in a row without an answer: another relay is tried. */
 #define FAILURES_TO_TURN 2
 #define DEFAULT_DIRECT_WORKERS 64
+/* A worker that is there is looked at every 5 s. */
+#define ROUTE_UNUSED_MS 60000
+#define ROUTE_REVIEW_MS 5000
 
 /* By which instance a worker is called. */
 struct route {
@@ -27,6 +30,8 @@
 	uint64_t epoch; /* of the candidates that it was chosen from */
 	uint32_t failures; /* in a row */
 	uint32_t place; /* in the worker's order of preference */
+	uint32_t pending; /* calls */
+	uint64_t used_ms; /* last time */
 };
 
 struct call_key {
@@ -68,6 +73,7 @@
 	size_t candidate_count; /* 0: all calls are made here */
 	uint64_t epoch;
 	uint64_t choose_ms; /* next time */
+	uint64_t review_ms; /* of routes, next time */
 	uint64_t now_ms; /* as last told */
 	struct route *routes;
 	struct pending *pending;
@@ -256,6 +262,8 @@
 	p->route = route;
 	p->relay = route->relay;
 	p->due_ms = rly->now_ms + timeout_ms + ANSWER_SLACK_MS;
+	route->pending++;
+	route->used_ms = rly->now_ms;
 	HASH_ADD(hh, rly->pending, key, sizeof(p->key), p);
 }
 
@@ -347,6 +355,7 @@
 {
 	uint64_t now_ms = rly->now_ms;
 
+	p->route->pending--;
 	note_answer(p->route, reply->answer);
 	switch ((Bergamot__WorkerCall)p->key.call) {
 	case BERGAMOT__WORKER_CALL__HOLD:
@@ -463,11 +472,28 @@
 	end_calls(rly, incarnation);
 }
 
+/* Forgets the routes to workers that are gone. */
+static void review_routes(struct rly *rly)
+{
+	struct route *route, *next;
+
+	rly->review_ms = rly->now_ms + ROUTE_REVIEW_MS;
+	HASH_ITER(hh, rly->routes, route, next) {
+		if (route->pending ||
+		    rly->now_ms - route->used_ms < ROUTE_UNUSED_MS)
+			continue;
+		HASH_DEL(rly->routes, route);
+		talloc_free(route);
+	}
+}
+
 void rly_tick(struct rly *rly, uint64_t now_ms)
 {
 	rly->now_ms = now_ms;
 	if (rly->choose_ms <= now_ms)
 		choose(rly);
+	if (rly->review_ms <= now_ms)
+		review_routes(rly);
 	end_calls(rly, 0);
 }
 
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -346,11 +346,39 @@
 }
 END_TEST
 
+/* Workers come and go for ever; what is kept of them does not add up. */
+START_TEST(test_routes_of_workers_that_are_gone)
+{
+	size_t before;
+	char id[16];
+
+	for (int i = 0; i < 100; i++) {
+		snprintf(id, sizeof(id), "gone-%d", i);
+		add_worker(id);
+	}
+	rly_tick(leader.rly, now_ms);
+	lpl_lead(pool, 5, now_ms);
+	rly_flush(leader.rly);
+	before = talloc_total_size(leader.rly);
+	for (int i = 0; i < 100; i++) {
+		snprintf(id, sizeof(id), "gone-%d", i);
+		lpl_entry_gone(pool, id, now_ms);
+	}
+	for (int i = 0; i < 20 * 10; i++) {
+		now_ms += 500;
+		rly_tick(leader.rly, now_ms);
+		rly_flush(leader.rly);
+	}
+	ck_assert_uint_lt(talloc_total_size(leader.rly), before / 2);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_relay", set_up, tear_down, test_call_and_answer,
 			test_own_answers_are_not_taken,
 			test_few_workers_are_called_directly,
 			test_small_shares_are_spared, test_lost_relay,
-			test_overdue, test_turns_to_another_relay);
+			test_overdue, test_turns_to_another_relay,
+			test_routes_of_workers_that_are_gone);
 }
