clock: timers of the loop run on the monotonic clock

Cause: tevent computes its timers from the time of day. Change: tevent_timeval_current, which the library calls by its public name, is defined in base/clock on the monotonic clock. test_clock failed before. Conclusion: wall clocks now only make first claims.

--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <sys/time.h>
+#include <tevent.h>
 #include <time.h>
 
 static uint64_t read_us(clockid_t id)
@@ -24,3 +26,19 @@
 {
 	return read_us(CLOCK_REALTIME);
 }
+
+/*
+ * tevent reads the time of day for its timers: where that is set back by a
+ * minute, all timers would be a minute late. The library calls this function by
+ * its public name, so that the definition here goes before its own.
+ */
+struct timeval tevent_timeval_current(void)
+{
+	uint64_t now_us = clk_now_us();
+	struct timeval now = {
+		.tv_sec = (time_t)(now_us / 1000000),
+		.tv_usec = (suseconds_t)(now_us % 1000000),
+	};
+
+	return now;
+}
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -5,7 +5,11 @@
 
 /*
  * Clocks. Decisions use the monotonic clock only, and its readings are never
- * compared between instances; the wall clock appears in logs alone.
+ * compared between instances; the wall clock appears in logs, and makes a first
+ * claim to lead higher than those of earlier lives (core/leader_member.h).
+ *
+ * Timers of tevent run on the monotonic clock, too, in each program that links
+ * this module.
  */
 
 /* Milliseconds on the monotonic clock, from an arbitrary start. */
--- /dev/null
+++ b/packages/base/tests/test_clock.c
@@ -0,0 +1,48 @@
+/* Timers of the loop follow the monotonic clock, not the time of day. */
+#include <stdlib.h>
+#include <tevent.h>
+
+#include "base/clock.h"
+#include "base/tests/run_suite.h"
+
+#define SLACK_S 10 /* of a busy machine */
+
+/* Computed within the library, by its own call for the time. */
+START_TEST(test_loop_time_is_monotonic)
+{
+	struct timeval in_a_minute = tevent_timeval_current_ofs(60, 0);
+	int64_t now_s = (int64_t)(clk_now_us() / 1000000);
+
+	ck_assert_int_le(llabs(in_a_minute.tv_sec - now_s - 60), SLACK_S);
+}
+END_TEST
+
+static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	*(bool *)private_data = true;
+}
+
+START_TEST(test_timer_fires)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	uint64_t begin_ms = clk_now_ms();
+	bool fired = false;
+
+	tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 50000), on_timer,
+			 &fired);
+	while (!fired)
+		ck_assert_int_eq(tevent_loop_once(ev), 0);
+	ck_assert_uint_ge(clk_now_ms() - begin_ms, 49);
+	talloc_free(ev);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("clock", NULL, NULL, test_loop_time_is_monotonic,
+			test_timer_fires);
+}
