--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -44,7 +44,6 @@
 	uint64_t candidate_ms; /* may claim since then; 0: may not */
 	bool mature;
 	bool stopping;
-	uint64_t claimed_ms;
 	struct {
 		uint64_t until_ms;
 		uint32_t waits_ms[LAG_COUNT]; /* as measured */
@@ -307,7 +306,6 @@
 void ldm_raise(struct ldm *ldm, uint64_t now_ms, uint64_t wall_ms)
 {
 	ldm->claim = next_claim(ldm, wall_ms);
-	ldm->claimed_ms = now_ms;
 	memset(&ldm->lag, 0, sizeof(ldm->lag));
 	ldm->highest_claim = ldm->claim;
 	ldm->leader = ldm->options.incarnation;
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -124,6 +124,15 @@
         time.sleep(0.2)
 
 
+def _clock(site, draw, end):
+    """The time of day jumps, and back or not."""
+    instance = draw.choice(site.instances)
+    instance.set_clock(draw.choice([-3600, -30, -3, 3, 30, 3600]))
+    time.sleep(max(0.0, end - time.monotonic()))
+    if draw.random() < 0.7:
+        instance.set_clock(0)
+
+
 # Weights: what takes an instance away is drawn more often.
 KINDS = [
     (_kill, 4), (_kill_all, 1), (_stop, 4), (_roll, 1), (_pause, 4),
@@ -142,7 +151,12 @@
         kind = draw.choices([k for k, _ in KINDS], [w for _, w in KINDS])[0]
         rows.append((at, kind, draw.random(), draw.uniform(0.3, LONGEST_S)))
         at += draw.expovariate(1 / NEXT_S)
-    return rows
+    # Drawn apart: what the seeds of before played stays as it was.
+    clocks = random.Random(f"clocks {seed}")
+    for _ in range(clocks.choice([1, 2, 3])):
+        rows.append((clocks.uniform(0.5, length_s), _clock, clocks.random(),
+                     clocks.uniform(0.3, LONGEST_S)))
+    return sorted(rows, key=lambda row: row[0])
 
 
 def strike(site, row):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import subprocess
+import sysconfig
 import threading
 import time
 
@@ -16,6 +17,9 @@
 from tests.system.cluster import free_ports, wait_for
 
 HOST = "h.example"
+# Shifts the time of day of a process by what a file says; Debian's faketime.
+FAKETIME = "/usr/lib/{}/faketime/libfaketimeMT.so.1".format(
+    sysconfig.get_config_var("MULTIARCH"))
 GRACE_S = 6.0  # from SIGTERM until a process has to have ended
 READY_LIMIT_S = 20.0  # on a busy machine; the platform asks for 12
 
@@ -34,6 +38,8 @@
         self.life = 0
         self.lock = threading.Lock()  # faults overlap
         self.settings(seeds, store)
+        self.clock_path = self.path + ".clock"
+        self.set_clock(0)
         self.process = None
         self.start()
 
@@ -63,7 +69,18 @@
             self.began = time.monotonic()
             with open(self.log_path, "ab") as log:
                 self.process = subprocess.Popen(
-                    [self.site.daemon, self.path], stdout=log, stderr=log)
+                    [self.site.daemon, self.path], stdout=log, stderr=log,
+                    env={**os.environ, "LD_PRELOAD": FAKETIME,
+                         "FAKETIME_TIMESTAMP_FILE": self.clock_path,
+                         "FAKETIME_NO_CACHE": "1",
+                         "FAKETIME_DONT_FAKE_MONOTONIC": "1",
+                         "DONT_FAKE_MONOTONIC": "1"})
+
+    def set_clock(self, seconds):
+        """Its time of day is off by so much; monotonic time goes on."""
+        with open(self.clock_path + ".new", "w", encoding="ascii") as file:
+            file.write(f"{seconds:+d}\n")
+        os.replace(self.clock_path + ".new", self.clock_path)
 
     def note_end(self):
         if self.process:
@@ -194,6 +211,7 @@
             worker.register(self.store, "ready")
         for instance in self.instances:
             instance.resume()
+            instance.set_clock(0)
 
     def wait_ready(self):
         """Starts what has ended; all serve within the limit."""
