--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -175,10 +175,11 @@
 
 static void arm_sweep(struct htc *htc)
 {
-	struct timeval at = tevent_timeval_current_ofs(0, SWEEP_MS * 1000);
+	struct timeval at;
 
 	if (htc->sweep || LIST_EMPTY(&htc->actives))
 		return;
+	at = tevent_timeval_current_ofs(0, SWEEP_MS * 1000);
 	htc->sweep_due_ms = clk_now_ms() + SWEEP_MS;
 	htc->sweep = tevent_add_timer(htc->options.ev, htc, at, sweep, htc);
 }
--- a/packages/adapters/http_server.c
+++ b/packages/adapters/http_server.c
@@ -43,7 +43,7 @@
 struct htp {
 	struct htp_options options;
 	size_t header_bytes; /* limit in force */
-	unsigned idle_s;
+	unsigned idle_s; /* from the next request on; 0: as at the start */
 	struct MHD_Daemon *daemon;
 	struct request *requests; /* handed over, not yet answered */
 	uint64_t next_number;
--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -1,8 +1,10 @@
 #include "base/json_text.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 
 #define LONGEST_ESCAPE 6 /* bytes: \u00XX */
+#define HEX_BYTES 17 /* of 64 bits, with the final NUL */
 
 static size_t put_escaped(char *out, unsigned char c)
 {
@@ -50,6 +52,14 @@
 	json_object_object_add(obj, key, json_object_new_int64((int64_t)value));
 }
 
+void jsn_add_hex(json_object *obj, const char *key, uint64_t value)
+{
+	char text[HEX_BYTES];
+
+	snprintf(text, sizeof(text), "%016" PRIx64, value);
+	jsn_add_text(obj, key, text);
+}
+
 void jsn_add_flag(json_object *obj, const char *key, bool value)
 {
 	json_object_object_add(obj, key,
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -23,6 +23,8 @@
 /* Add a member of that type. */
 void jsn_add_text(json_object *obj, const char *key, const char *value);
 void jsn_add_number(json_object *obj, const char *key, uint64_t value);
+/* As 16 hexadecimal digits: an incarnation. */
+void jsn_add_hex(json_object *obj, const char *key, uint64_t value);
 void jsn_add_flag(json_object *obj, const char *key, bool value);
 
 #endif
--- a/packages/base/loop_lag.c
+++ b/packages/base/loop_lag.c
@@ -26,7 +26,7 @@
 	if (read(llg->read_fd, &byte, 1) != 1 || !sent_ms)
 		return;
 	llg->sent_ms = 0;
-	llg->options.measured(llg->options.ctx, now_ms - sent_ms, now_ms);
+	llg->options.measured(llg->options.ctx, now_ms - sent_ms);
 }
 
 /* One byte at a time: while it waits, the lag is at least its age. */
@@ -35,8 +35,7 @@
 	struct llg *llg = ctx;
 
 	if (llg->sent_ms)
-		llg->options.measured(llg->options.ctx, now_ms - llg->sent_ms,
-				      now_ms);
+		llg->options.measured(llg->options.ctx, now_ms - llg->sent_ms);
 	else if (llg->options.wanted(llg->options.ctx) &&
 		 write(llg->write_fd, "", 1) == 1)
 		llg->sent_ms = now_ms;
--- a/packages/base/loop_lag.h
+++ b/packages/base/loop_lag.h
@@ -23,7 +23,7 @@
 	uint32_t every_ms;
 	/* Is it worth measuring now? */
 	bool (*wanted)(void *ctx);
-	void (*measured)(void *ctx, uint64_t lag_ms, uint64_t now_ms);
+	void (*measured)(void *ctx, uint64_t lag_ms);
 	void *ctx;
 };
 
--- a/packages/base/tests/test_loop_lag.c
+++ b/packages/base/tests/test_loop_lag.c
@@ -26,10 +26,9 @@
 	return f->wanted;
 }
 
-static void measured(void *ctx, uint64_t lag_ms, uint64_t now_ms)
+static void measured(void *ctx, uint64_t lag_ms)
 {
 	(void)ctx;
-	(void)now_ms;
 	f->measured++;
 	if (lag_ms > f->longest_ms)
 		f->longest_ms = lag_ms;
--- a/packages/base/tests/test_token_bucket.c
+++ b/packages/base/tests/test_token_bucket.c
@@ -71,14 +71,7 @@
 
 int main(void)
 {
-	Suite *s = suite_create("token_bucket");
-	TCase *tc = tcase_create("token_bucket");
-
-	tcase_add_test(tc, test_burst_then_rate);
-	tcase_add_test(tc, test_reserve_is_kept);
-	tcase_add_test(tc, test_waits_add_up);
-	tcase_add_test(tc, test_lower_rate_at_once);
-	tcase_add_test(tc, test_time_goes_back);
-	suite_add_tcase(s, tc);
-	return run_suite(s);
+	return RUN_CASE("token_bucket", NULL, NULL, test_burst_then_rate,
+			test_reserve_is_kept, test_waits_add_up,
+			test_lower_rate_at_once, test_time_goes_back);
 }
--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -328,6 +328,14 @@
 	beat_at_once(ldm);
 }
 
+/* Equal members are told apart by their incarnations. */
+static bool ranks_before(const struct ldm *ldm, const struct ldm_member *m,
+			 uint32_t its, uint32_t own)
+{
+	return its > own ||
+	       (its == own && m->incarnation < ldm->options.incarnation);
+}
+
 /* Better candidates than us that are live; they claim before we do. */
 static uint32_t rank_of_self(struct ldm *ldm, uint64_t now_ms)
 {
@@ -338,10 +346,7 @@
 	for (m = ldm->members; m; m = m->hh.next) {
 		if (!m->weight || m->stopping || !ldm_is_live(ldm, m, now_ms))
 			continue;
-		if (m->weight > weight ||
-		    (m->weight == weight &&
-		     m->incarnation < ldm->options.incarnation))
-			rank++;
+		rank += ranks_before(ldm, m, m->weight, weight);
 	}
 	return rank;
 }
@@ -354,11 +359,8 @@
 
 	for (m = ldm->members; m; m = m->hh.next)
 		if (!m->stopping && ldm_is_live(ldm, m, now_ms) &&
-		    !strcmp(m->data_centre, ldm->options.data_centre) &&
-		    (m->share > share ||
-		     (m->share == share &&
-		      m->incarnation < ldm->options.incarnation)))
-			better++;
+		    !strcmp(m->data_centre, ldm->options.data_centre))
+			better += ranks_before(ldm, m, m->share, share);
 	return better;
 }
 
--- a/packages/core/lease_hold.c
+++ b/packages/core/lease_hold.c
@@ -30,7 +30,6 @@
 #define CLOCK_DRIFT_PERCENT 2 /* a worker's clock may be so much slow */
 #define ORPHAN_MS 900 /* entries have sent their jobs again by then */
 
-/* The worker's clock now, or earlier: never later. */
 uint64_t lpl_worker_clock(const struct lpl_worker *worker, uint64_t now_ms)
 {
 	uint64_t elapsed_ms = now_ms - worker->clock_at_ms;
@@ -39,7 +38,6 @@
 	       elapsed_ms * (100 - CLOCK_DRIFT_PERCENT) / 100;
 }
 
-/* Our time at which a lease granted now has surely lapsed. */
 uint64_t lpl_lapse_ms(const struct lpl *lpl, uint64_t now_ms)
 {
 	return now_ms +
@@ -105,7 +103,6 @@
 	return worker->run_count || worker->ends_read > worker->ends_acked;
 }
 
-/* Sends the next hold where one is due. */
 void lpl_pump(struct lpl *lpl, struct lpl_worker *worker, uint64_t now_ms)
 {
 	if (!lpl->fence || worker->holding || worker->retry_ms > now_ms ||
@@ -340,7 +337,6 @@
 	lpl_pump(lpl, worker, now_ms);
 }
 
-/* Asks for the lists where a start has no answer yet. */
 void lpl_look_early(struct lpl *lpl, struct lpl_worker *worker, uint64_t now_ms)
 {
 	double limit_ms = lpl->answer_ms * EARLY_LOOK_FACTOR;
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -48,7 +48,6 @@
 	return worker;
 }
 
-/* Nothing of what was known of the worker's runs and clock holds any more. */
 void lpl_forget_life(struct lpl *lpl, struct lpl_worker *worker,
 		     uint64_t now_ms)
 {
@@ -264,7 +263,6 @@
 	forget_found(lpl, UINT64_MAX);
 }
 
-/* Another instance rules the worker: what runs there is not ours to judge. */
 void lpl_lose_worker(struct lpl *lpl, struct lpl_worker *worker,
 		     uint64_t now_ms)
 {
@@ -284,7 +282,6 @@
 			run->close_at_ms = now_ms + FOREIGN_CLOSE_MS;
 }
 
-/* Takes clock and life over from an answer; tells whose it is. */
 enum lpl_life lpl_take_reply(struct lpl *lpl, struct lpl_worker *worker,
 			     const struct lpl_reply *reply, uint64_t now_ms)
 {
--- a/packages/core/lease_run.c
+++ b/packages/core/lease_run.c
@@ -156,10 +156,6 @@
 	return run;
 }
 
-/*
- * A worker has started anew. Acknowledged runs went with its former life; a
- * start without an answer may reach the new one, where no former stop counts.
- */
 void lpl_close_former_life(struct lpl *lpl, struct lpl_worker *worker,
 			   uint64_t now_ms)
 {
@@ -177,7 +173,6 @@
 	}
 }
 
-/* Offers an open run to the dispatcher; stops it where it is not wanted. */
 void lpl_offer_run(struct lpl *lpl, struct lpl_run *run, uint64_t now_ms)
 {
 	struct lpl_worker *worker = run->worker;
--- a/packages/core/lease_status.c
+++ b/packages/core/lease_status.c
@@ -1,21 +1,8 @@
 #include "core/lease_status.h"
 
-#include <inttypes.h>
-#include <stdio.h>
-
 #include "base/json_text.h"
 #include "core/lease_state.h"
 
-#define HEX_BYTES 17
-
-static void add_hex(json_object *obj, const char *key, uint64_t value)
-{
-	char text[HEX_BYTES];
-
-	snprintf(text, sizeof(text), "%016" PRIx64, value);
-	jsn_add_text(obj, key, text);
-}
-
 /* Members */
 
 static const char *member_word(const struct ldm *members,
@@ -43,7 +30,7 @@
 		jsn_add_text(obj, "address", m->address);
 		jsn_add_text(obj, "state",
 			     member_word(lnd->members, m, now_ms));
-		add_hex(obj, "incarnation", m->incarnation);
+		jsn_add_hex(obj, "incarnation", m->incarnation);
 		jsn_add_number(obj, "claim", m->claim);
 		jsn_add_number(obj, "weight", m->share);
 		jsn_add_number(obj, "config_version", m->config_version);
@@ -146,10 +133,10 @@
 	json_object *workers = list_workers(lnd, &totals, now_ms);
 
 	jsn_add_text(obj, "instance", lnd->options.instance);
-	add_hex(obj, "incarnation", lnd->options.incarnation);
+	jsn_add_hex(obj, "incarnation", lnd->options.incarnation);
 	jsn_add_flag(obj, "ready", lnd_is_ready(lnd));
 	jsn_add_flag(obj, "leads", lnd->claim != 0);
-	add_hex(obj, "leader", lnd->leader);
+	jsn_add_hex(obj, "leader", lnd->leader);
 	jsn_add_number(obj, "claim", lnd->claim);
 	jsn_add_number(obj, "config_version",
 		       lnd->config ? lnd->config->version : 0);
--- a/packages/core/node_status.c
+++ b/packages/core/node_status.c
@@ -10,14 +10,11 @@
 {
 	json_object *list = ctx;
 	json_object *obj = json_object_new_object();
-	char incarnation[17];
 
-	snprintf(incarnation, sizeof(incarnation), "%016llx",
-		 (unsigned long long)m->incarnation);
 	jsn_add_text(obj, "instance", m->instance);
 	jsn_add_text(obj, "data_centre", m->data_centre);
 	jsn_add_text(obj, "address", m->address);
-	jsn_add_text(obj, "incarnation", incarnation);
+	jsn_add_hex(obj, "incarnation", m->incarnation);
 	jsn_add_text(obj, "state", mbr_state_word(m->state));
 	jsn_add_number(obj, "config_version", m->config_version);
 	jsn_add_number(obj, "slots", m->slots);
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -375,11 +375,10 @@
 	return lnd_leads(lct->node);
 }
 
-static void on_lag(void *ctx, uint64_t lag_ms, uint64_t now_ms)
+static void on_lag(void *ctx, uint64_t lag_ms)
 {
 	struct lct *lct = ctx;
 
-	(void)now_ms;
 	lnd_note_lag(lct->node, lag_ms);
 }
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -40,6 +40,7 @@
             if before[1] is None or before[1] > after[0]:
                 yield f"twice: {task} runs beside itself: {before}, {after}"
 
+
 def _instance_of(token):
     return token % 2 ** CLAIM_OWN_BITS
 
