core: what has run does not run again after an entry's short silence

When the link to the leader was reset, or an entry was paused for 0.6 s, the entry cancelled its jobs at the leader that was to have them again, and the leader gave them up as soon as beats had lapsed. Tasks that had ended ran again though no caller had sent the job again. The new check in fake_site (no start under the token that noted the task's end, unless the caller sent the job again) found four more ways: an end of a run that had been found, or was read before its job came, was dropped (900 ms, now 30 s); an end that came after its lease was taken to have lapsed; a result kept for 3 s, less than callers wait; a new leader's hold with the numbers of a worker's earlier process, which drops unread ends. Ruled out: ends acknowledged by a hold that was sent to the earlier process and carried out seconds later; no leader has read these. Change: a job is cancelled at a former leader only when another one gets it; the leader waits LEASE_ABANDON_MS in both cases and keeps given-up jobs by id; ends and results are kept; the first hold acknowledges nothing.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -10,7 +10,12 @@
 #include "base/histogram.h"
 #include "base/log.h"
 
-#define FINISHED_KEEP_MS 3000 /* for resubmissions by entry instances */
+/*
+ * An entry instance resubmits a job until its deadline. Results are kept until
+ * then, but at least and at most for:
+ */
+#define MIN_FINISHED_KEEP_MS 3000
+#define MAX_FINISHED_KEEP_MS 30000
 #define ANSWER_MARGIN_MS 15 /* for the answer to reach the caller */
 /* A round of starts ends after this many steps that found no worker. */
 #define MAX_UNPLACED_STEPS 6
@@ -146,7 +151,11 @@
 	memcpy(f->id, job->id, sizeof(f->id));
 	f->end = end;
 	f->reason = reason;
-	f->until_ms = now_ms + FINISHED_KEEP_MS;
+	f->until_ms = job->deadline_ms;
+	if (f->until_ms < now_ms + MIN_FINISHED_KEEP_MS)
+		f->until_ms = now_ms + MIN_FINISHED_KEEP_MS;
+	if (f->until_ms > now_ms + MAX_FINISHED_KEEP_MS)
+		f->until_ms = now_ms + MAX_FINISHED_KEEP_MS;
 	HASH_ADD_STR(dispatch->finished, id, f);
 }
 
@@ -180,7 +189,7 @@
 	LIST_FOREACH(w, &job->waiters, entry)
 		send_answer(dispatch, &w->waiter, job->id, end, reason,
 			    random_below(&dispatch->random, RETRY_SPREAD_MS));
-	if (end == LEASE_COMPLETED || end == LEASE_FAILED)
+	if (end != LEASE_REFUSED)
 		add_finished(dispatch, job, end, reason, now_ms);
 	abandon_runs(dispatch, job, now_ms);
 	free_job(dispatch, job);
@@ -353,16 +362,35 @@
 	return true;
 }
 
+/* Stops a task's run, so that the task waits again. */
+static void abandon_run(struct lease_dispatch *dispatch, struct task *task,
+			uint64_t now_ms)
+{
+	struct lease_job *job = task->job;
+
+	pool_abandon(dispatch->pool, task->run, now_ms);
+	task->run = NULL;
+	task->state = TASK_WAITING;
+	job->waiting++;
+	job->states[task->step].waiting++;
+	job->running--;
+	dispatch->waiting_tasks++;
+	dispatch->running_tasks--;
+}
+
 static bool adopt_done(void *ctx, const char *id, const char *name,
 		       uint64_t now_ms)
 {
-	struct lease_job *job = find_job(ctx, id);
+	struct lease_dispatch *dispatch = ctx;
+	struct lease_job *job = find_job(dispatch, id);
 	struct task *task = job ? find_task(job, name) : NULL;
 
 	if (!job)
 		return false;
-	if (!task || task->state != TASK_WAITING)
+	if (!task || task->state == TASK_DONE)
 		return true;
+	if (task->state == TASK_RUNNING)
+		abandon_run(dispatch, task, now_ms);
 	end_waiting(task, TASK_DONE);
 	job->states[task->step].done++;
 	job->done++;
@@ -372,13 +400,26 @@
 	return true;
 }
 
+static struct finished *find_finished(struct lease_dispatch *dispatch,
+				      const struct lease_submission *from)
+{
+	struct finished *f;
+
+	HASH_FIND_STR(dispatch->finished, from->id, f);
+	if (!f || f->end != LEASE_GIVEN_UP || from->handed)
+		return f;
+	/* The caller has sent the job again: it may run again. */
+	HASH_DEL(dispatch->finished, f);
+	talloc_free(f);
+	return NULL;
+}
+
 static bool join_job(struct lease_dispatch *dispatch,
 		     const struct lease_submission *from)
 {
 	struct lease_job *job = find_job(dispatch, from->id);
-	struct finished *f;
+	struct finished *f = find_finished(dispatch, from);
 
-	HASH_FIND_STR(dispatch->finished, from->id, f);
 	if (job) {
 		log_info(LOG_JOB, "job %s: joined by entry %016" PRIx64,
 			 job->id, from->waiter.entry);
@@ -386,10 +427,12 @@
 		add_waiter(job, &from->waiter);
 		return true;
 	}
-	if (f)
-		send_answer(dispatch, &from->waiter, f->id, f->end, f->reason,
-			    0);
-	return f != NULL;
+	if (!f)
+		return false;
+	log_info(LOG_JOB, "job %s: had ended before, as %s (%s)", f->id,
+		 end_texts[f->end], reason_texts[f->reason]);
+	send_answer(dispatch, &from->waiter, f->id, f->end, f->reason, 0);
+	return true;
 }
 
 void lease_submit(struct lease_dispatch *dispatch,
@@ -468,9 +511,8 @@
 }
 
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
-			bool may_return, uint64_t now_ms)
+			uint64_t now_ms)
 {
-	uint64_t wait_ms = may_return ? LEASE_ABANDON_MS : 0;
 	struct lease_job *job, *next;
 	uint32_t count = 0;
 
@@ -480,15 +522,15 @@
 		remove_waiters(job, entry, NULL);
 		if (!LIST_EMPTY(&job->waiters))
 			continue;
-		job->abandon_at_ms = now_ms + wait_ms;
+		job->abandon_at_ms = now_ms + LEASE_ABANDON_MS;
 		count++;
 	}
 	if (count)
 		log_info(LOG_JOB,
 			 "entry %016" PRIx64
-			 " lost: stopping %u jobs in %" PRIu64
-			 " ms unless they are submitted again",
-			 entry, count, wait_ms);
+			 " lost: giving up %u jobs in %d ms unless they are "
+			 "submitted again",
+			 entry, count, LEASE_ABANDON_MS);
 }
 
 /* Rounds of starts */
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -125,16 +125,20 @@
 		  const struct lease_waiter *waiter, const char *id,
 		  uint64_t now_ms);
 
-/* An entry instance whose link broke has resubmitted its jobs by then. */
+/*
+ * An entry instance whose link broke, or that was paused for a moment, has
+ * resubmitted its jobs by then.
+ */
 #define LEASE_ABANDON_MS 900
 
 /*
  * Removes all waiters of an entry instance that is lost. Jobs without another
- * waiter are stopped: with may_return, when only the link is down, after
- * LEASE_ABANDON_MS, otherwise with the next tick.
+ * waiter are given up after LEASE_ABANDON_MS. An entry that resubmits one later
+ * learns that it was given up: its tasks may have run, and run again only for a
+ * caller that sends the job again.
  */
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
-			bool may_return, uint64_t now_ms);
+			uint64_t now_ms);
 
 /* Starts no task before until_ms; called after the process was paused. */
 void lease_defer_starts(struct lease_dispatch *dispatch, uint64_t until_ms);
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -47,18 +47,24 @@
 	talloc_free(job);
 }
 
-/* Cancels a job at the leader that has it, which may be this instance. */
-static void cancel_at_leader(struct lease_node *lease_node,
-			     const struct lease_node_job *job, uint64_t now_ms)
+static void cancel_at(struct lease_node *lease_node,
+		      const struct lease_node_job *job, uint64_t leader,
+		      uint64_t now_ms)
 {
-	struct lease_waiter waiter = { job->sent_to, job->request };
+	struct lease_waiter waiter = { leader, job->request };
 
-	if (!job->sent_to)
-		return;
-	if (job->sent_to == lease_node->options.incarnation)
+	if (leader == lease_node->options.incarnation)
 		lease_cancel(lease_node->dispatch, &waiter, job->id, now_ms);
-	else
-		lease_node_send_cancel(lease_node, job);
+	else if (leader)
+		lease_node_send_cancel(lease_node, job, leader);
+}
+
+/* Cancels a job at the leaders that may have it, also this instance. */
+static void cancel_at_leaders(struct lease_node *lease_node,
+			      const struct lease_node_job *job, uint64_t now_ms)
+{
+	cancel_at(lease_node, job, job->sent_to, now_ms);
+	cancel_at(lease_node, job, job->former, now_ms);
 }
 
 /*
@@ -78,7 +84,7 @@
 		 job->sent_to, job->handed);
 	/* Cancelling it at the leader must not answer it again. */
 	HASH_REMOVE(lease_node->jobs, job);
-	cancel_at_leader(lease_node, job, now_ms);
+	cancel_at_leaders(lease_node, job, now_ms);
 	answer_caller(lease_node, job,
 		      never_sent ? LEASE_REFUSED : LEASE_GIVEN_UP, reason,
 		      RETRY_AFTER_MS);
@@ -118,12 +124,27 @@
 	return m && m->linked;
 }
 
+/*
+ * Cancels a job at its former leader, unless that is to have it again. One that
+ * still leads receives our beats, and would go on serving the job.
+ */
+static void leave_former(struct lease_node *lease_node,
+			 struct lease_node_job *job, uint64_t now_ms)
+{
+	if (job->former != lease_node->leader)
+		cancel_at(lease_node, job, job->former, now_ms);
+	job->former = 0;
+}
+
 /* Sends a job to the leader, if there is one that is linked. */
 static void send_to_leader(struct lease_node *lease_node,
 			   struct lease_node_job *job, uint64_t now_ms)
 {
 	if (!lease_node->leader)
 		return;
+	if (lease_node->leader == lease_node->options.incarnation ||
+	    is_linked(lease_node, lease_node->leader))
+		leave_former(lease_node, job, now_ms);
 	if (lease_node->leader == lease_node->options.incarnation) {
 		job->sent_to = lease_node->leader;
 		submit_locally(lease_node, job, now_ms);
@@ -153,17 +174,16 @@
 	return (m ? m->last_beat_ms : now_ms) + ABANDONED_MS + RUNS_CLOSED_MS;
 }
 
+/*
+ * The job stays at its former leader, which may be the next one, too: after a
+ * link's reset or a pause of this instance it still has the job's results.
+ */
 static void take_back_job(struct lease_node *lease_node,
 			  struct lease_node_job *job, uint64_t now_ms)
 {
 	uint64_t closed_ms = runs_closed_ms(lease_node, job->sent_to, now_ms);
 
-	/*
-	 * A former leader that still leads receives our beats, and would go on
-	 * serving the job.
-	 */
-	if (job->sent_to != lease_node->options.incarnation)
-		lease_node_send_cancel(lease_node, job);
+	job->former = job->sent_to;
 	if (closed_ms > job->closed_ms)
 		job->closed_ms = closed_ms;
 	job->handed++;
@@ -243,7 +263,7 @@
 	log_info(LOG_CALLER, "job %s: caller disconnected after %" PRIu64 " ms",
 		 job->id, now_ms - job->received_ms);
 	HASH_REMOVE(lease_node->jobs, job);
-	cancel_at_leader(lease_node, job, now_ms);
+	cancel_at_leaders(lease_node, job, now_ms);
 	talloc_free(job);
 }
 
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -256,7 +256,7 @@
 }
 
 void lease_node_send_cancel(struct lease_node *lease_node,
-			    const struct lease_node_job *job)
+			    const struct lease_node_job *job, uint64_t to)
 {
 	Bergamot__QueueJobCancel msg = BERGAMOT__QUEUE_JOB_CANCEL__INIT;
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -265,7 +265,7 @@
 	msg.id = (char *)job->id;
 	peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL;
 	peer.queue_job_cancel = &msg;
-	send_to(lease_node, job->sent_to, &peer);
+	send_to(lease_node, to, &peer);
 }
 
 static void unpack_step(struct job_step *step, const Bergamot__JobStep *from)
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -27,6 +27,7 @@
 	uint64_t deadline_ms;
 	struct step_job *job;
 	uint64_t sent_to; /* incarnation of the leader that has it; 0: none */
+	uint64_t former; /* leader it was taken back from, not cancelled there */
 	uint32_t handed; /* number of earlier leaders that may have had it */
 	uint64_t closed_ms; /* by when these are certain to have given it up */
 };
@@ -99,7 +100,7 @@
 			 const struct lease_node_job *job, uint64_t to,
 			 uint64_t now_ms);
 void lease_node_send_cancel(struct lease_node *lease_node,
-			    const struct lease_node_job *job);
+			    const struct lease_node_job *job, uint64_t to);
 
 /* Passes the dispatcher's answer to the instance that accepted the job. */
 void lease_node_on_answer(void *ctx, const struct lease_answer *answer);
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -18,6 +18,7 @@
 {
 	HASH_CLEAR(hh, pool->by_id);
 	HASH_CLEAR(hh, pool->by_token);
+	HASH_CLEAR(hh, pool->found);
 	return 0;
 }
 
@@ -29,7 +30,6 @@
 	pool->options = *options;
 	pool->ports = options->ports;
 	TAILQ_INIT(&pool->workers);
-	LIST_INIT(&pool->found);
 	talloc_set_destructor(pool, destroy);
 	return pool;
 }
@@ -246,14 +246,12 @@
 
 static void expire_found_ends(struct lease_pool *pool, uint64_t before_ms)
 {
-	struct found_end *found = LIST_FIRST(&pool->found);
-	struct found_end *next;
+	struct found_job *found, *next;
 
-	for (; found; found = next) {
-		next = LIST_NEXT(found, entry);
+	HASH_ITER(hh, pool->found, found, next) {
 		if (found->until_ms > before_ms)
-			continue;
-		LIST_REMOVE(found, entry);
+			break;
+		HASH_DEL(pool->found, found);
 		talloc_free(found);
 	}
 }
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -32,10 +32,12 @@
 #define MAX_RETRY_MS 1000
 #define CLOCK_DRIFT_PERCENT 2 /* a worker's clock may be slow by this */
 /*
- * A run or an end of an earlier leader is kept for this long for its job, which
- * an entry instance resubmits within this time.
+ * A run of an earlier leader is kept for this long for its job, which an entry
+ * instance resubmits within this time.
  */
 #define ORPHAN_KEEP_MS 900
+/* An end is kept for longer: an entry may be paused, and ends use no worker. */
+#define FOUND_END_KEEP_MS 30000
 
 uint64_t pool_worker_clock(const struct pool_worker *worker, uint64_t now_ms)
 {
@@ -53,6 +55,17 @@
 	       POOL_LAPSE_SLACK_MS;
 }
 
+/*
+ * A worker that has not answered lately may have restarted, and numbers its
+ * ends anew: acknowledging our number would drop ends that nobody has read.
+ */
+static uint64_t ends_to_acknowledge(const struct pool_worker *worker)
+{
+	return worker->state == POOL_HELD && !worker->failures
+		       ? worker->ends_read
+		       : 0;
+}
+
 void pool_send_hold(struct lease_pool *pool, struct pool_worker *worker,
 		    uint32_t wait_ms, uint64_t now_ms)
 {
@@ -62,7 +75,7 @@
 		.data_centre = worker->data_centre,
 		.serial = ++pool->next_serial,
 		.fence = pool->fence,
-		.ends_read = worker->ends_read,
+		.ends_read = ends_to_acknowledge(worker),
 		.wait_ms = wait_ms,
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
 	};
@@ -72,7 +85,8 @@
 				   pool->options.lease_ms;
 		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
 	}
-	worker->ends_acked = worker->ends_read;
+	if (call.ends_read > worker->ends_acked)
+		worker->ends_acked = call.ends_read;
 	worker->hold_pending = true;
 	worker->hold_serial = call.serial;
 	worker->hold_sent_ms = now_ms;
@@ -201,20 +215,40 @@
 		run->answered_ms = now_ms;
 }
 
-static void keep_found_end(struct lease_pool *pool,
-			   const struct pool_listed_end *row, uint64_t now_ms)
+static void keep_end(struct lease_pool *pool, const char *job, const char *task,
+		     uint64_t now_ms)
 {
-	struct found_end *found = talloc_zero(pool, struct found_end);
-
-	snprintf(found->task, sizeof(found->task), "%s", row->task);
-	copy_job_id(found->job, row->task);
-	if (pool->options.found_done(pool->options.ctx, found->job, found->task,
-				     now_ms)) {
-		talloc_free(found);
-		return;
+	struct found_end *end;
+	struct found_job *found;
+
+	HASH_FIND_STR(pool->found, job, found);
+	if (!found) {
+		found = talloc_zero(pool, struct found_job);
+		snprintf(found->job, sizeof(found->job), "%s", job);
+		found->until_ms = now_ms + FOUND_END_KEEP_MS;
+		HASH_ADD_STR(pool->found, job, found);
 	}
-	found->until_ms = now_ms + ORPHAN_KEEP_MS;
-	LIST_INSERT_HEAD(&pool->found, found, entry);
+	end = talloc_zero(found, struct found_end);
+	snprintf(end->task, sizeof(end->task), "%s", task);
+	LIST_INSERT_HEAD(&found->ends, end, entry);
+}
+
+/*
+ * Offers an end of a run that no task is waiting for: a former leader started
+ * it, or its lease was taken to have lapsed while the worker did not answer. A
+ * former leader's end is kept for its job, which may be submitted later.
+ */
+static void offer_end(struct lease_pool *pool,
+		      const struct pool_listed_end *row, bool keep,
+		      uint64_t now_ms)
+{
+	char job[STEP_JOB_ID_BYTES];
+
+	copy_job_id(job, row->task);
+	if (!pool->options.found_done(pool->options.ctx, job, row->task,
+				      now_ms) &&
+	    keep)
+		keep_end(pool, job, row->task, now_ms);
 }
 
 static void apply_ended(struct lease_pool *pool, struct pool_worker *worker,
@@ -222,13 +256,16 @@
 {
 	struct pool_run *run = pool_find_run(worker, row->task, row->number);
 
+	bool offered = row->how == POOL_DONE && !(run && run->task);
+	bool foreign = !run || !run->started_here;
+
 	if (row->number_of_end <= worker->ends_read)
 		return;
 	worker->ends_read = row->number_of_end;
 	if (run)
 		pool_close_run(pool, run, row->how, now_ms);
-	else if (row->how == POOL_DONE && worker->state != POOL_HELD)
-		keep_found_end(pool, row, now_ms);
+	if (offered)
+		offer_end(pool, row, foreign, now_ms);
 }
 
 /*
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -378,8 +378,8 @@
 
 void pool_offer_found(struct lease_pool *pool, const char *job, uint64_t now_ms)
 {
-	struct found_end *found = LIST_FIRST(&pool->found);
-	struct found_end *next;
+	struct found_job *found;
+	struct found_end *end;
 	struct pool_worker *worker;
 	struct pool_run *run;
 
@@ -387,15 +387,14 @@
 		LIST_FOREACH(run, &worker->runs, in_worker)
 			if (!run->task && !strcmp(run->job, job))
 				pool_offer_run(pool, run, now_ms);
-	for (; found; found = next) {
-		next = LIST_NEXT(found, entry);
-		if (strcmp(found->job, job))
-			continue;
-		LIST_REMOVE(found, entry);
-		pool->options.found_done(pool->options.ctx, job, found->task,
+	HASH_FIND_STR(pool->found, job, found);
+	if (!found)
+		return;
+	HASH_DEL(pool->found, found);
+	LIST_FOREACH(end, &found->ends, entry)
+		pool->options.found_done(pool->options.ctx, job, end->task,
 					 now_ms);
-		talloc_free(found);
-	}
+	talloc_free(found);
 }
 
 void pool_tick_run(struct lease_pool *pool, struct pool_run *run,
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -18,12 +18,18 @@
 #define POOL_FOREIGN_RETRY_MS 1000
 #define POOL_LAPSE_SLACK_MS 30 /* for a late timer and a message in flight */
 
-/* An end found on a worker whose job has not been submitted to us yet. */
+/* An end as done that was found on a worker. */
 struct found_end {
 	LIST_ENTRY(found_end) entry;
 	char task[STEP_JOB_TASK_BYTES];
+};
+
+/* Ends that were found of a job which has not been submitted to us yet. */
+struct found_job {
+	UT_hash_handle hh;
 	char job[STEP_JOB_ID_BYTES];
-	uint64_t until_ms;
+	uint64_t until_ms; /* in the order of the table */
+	LIST_HEAD(, found_end) ends;
 };
 
 struct lease_pool {
@@ -32,7 +38,7 @@
 	struct pool_worker *by_id;
 	struct pool_worker_list workers;
 	struct pool_run *by_token;
-	LIST_HEAD(, found_end) found;
+	struct found_job *found;
 	uint64_t next_token;
 	uint64_t next_serial;
 	uint64_t fence; /* 0: this instance does not lead */
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -32,14 +32,21 @@
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
 	uint32_t number;
+	uint32_t attempt; /* of the caller, when it started */
 	uint64_t ends_ms;
 };
 
 struct end {
 	char task[STEP_JOB_TASK_BYTES];
 	uint32_t number;
+	uint32_t attempt;
 	uint64_t number_of_end;
 	enum pool_end how;
+	/*
+	 * An answer with it arrived. A late hold that was sent to the worker's
+	 * earlier process acknowledges ends that no leader has read.
+	 */
+	bool listed;
 };
 
 /* The highest run number of a task that a worker has started or stopped. */
@@ -128,6 +135,7 @@
 	bool started;
 	bool refused;
 	bool only_refused; /* every attempt so far was refused */
+	uint32_t attempts; /* of the caller */
 };
 
 struct request {
@@ -136,6 +144,15 @@
 	struct job *job;
 };
 
+/* A task's end as done that a leader has acknowledged to the worker. */
+struct noted_end {
+	UT_hash_handle hh;
+	char task[STEP_JOB_TASK_BYTES];
+	uint32_t number;
+	uint64_t fence; /* of the leader that acknowledged it */
+	uint32_t attempt; /* of the caller, when the run started */
+};
+
 struct site {
 	const struct fake_site_options *options;
 	struct fake_site_result *result;
@@ -148,6 +165,7 @@
 	struct event *events;
 	struct job *jobs;
 	struct request *requests;
+	struct noted_end *noted_ends;
 	uint64_t next_request;
 	uint64_t now_ms;
 	bool faults_ended;
@@ -416,13 +434,51 @@
 	end = &w->ends[w->end_count++];
 	memcpy(end->task, w->runs[i].task, sizeof(end->task));
 	end->number = w->runs[i].number;
+	end->attempt = w->runs[i].attempt;
 	end->number_of_end = ++w->last_end;
 	end->how = how;
+	end->listed = false;
 	w->runs[i] = w->runs[--w->run_count];
 }
 
-static void check_start(struct site *site, const char *task)
+static void note_end(struct site *site, const struct end *end, uint64_t fence)
+{
+	struct noted_end *noted;
+
+	if (end->how != POOL_DONE)
+		return;
+	HASH_FIND_STR(site->noted_ends, end->task, noted);
+	if (!noted) {
+		noted = talloc_zero(site, struct noted_end);
+		memcpy(noted->task, end->task, sizeof(noted->task));
+		HASH_ADD_STR(site->noted_ends, task, noted);
+	}
+	noted->number = end->number;
+	noted->fence = fence;
+	noted->attempt = end->attempt;
+}
+
+/*
+ * A leader knows the ends that it has acknowledged; it runs a task again only
+ * for a caller that sent the job again.
+ */
+static void check_not_noted(struct site *site, const struct job *job,
+			    const struct event *start)
 {
+	struct noted_end *noted;
+
+	HASH_FIND_STR(site->noted_ends, start->task, noted);
+	if (!noted || noted->fence != start->fence ||
+	    noted->number >= start->number || noted->attempt != job->attempts)
+		return;
+	report_error(site, "started after its noted end", start->task);
+	site->result->repeated_runs++;
+}
+
+/* Returns the number of the attempt of the caller that the start serves. */
+static uint32_t check_start(struct site *site, const struct event *start)
+{
+	const char *task = start->task;
 	struct job *job;
 
 	for (uint32_t i = 0; i < site->options->workers; i++)
@@ -433,18 +489,21 @@
 			}
 	HASH_FIND(hh, site->jobs, task, STEP_JOB_ID_DIGITS, job);
 	if (!job)
-		return;
+		return 0;
 	job->started = true;
+	check_not_noted(site, job, start);
 	if (job->refused && job->only_refused) {
 		report_error(site, "started after a refusal", task);
 		site->result->wrong_answers++;
 	}
+	return job->attempts;
 }
 
 static enum pool_answer start_run(struct site *site, struct worker *w,
 				  const struct event *e)
 {
 	struct seen_run *seen_run = get_seen_run(w, e->task);
+	uint32_t attempt;
 	struct run *run;
 
 	if (e->deadline_ms <= site->now_ms)
@@ -457,11 +516,12 @@
 		return POOL_RUN_OLD;
 	if ((w->run_count + 1) * TASK_MILLI > WORKER_MILLI)
 		return POOL_DOES_NOT_FIT;
-	check_start(site, e->task);
+	attempt = check_start(site, e);
 	seen_run->number = e->number;
 	run = &w->runs[w->run_count++];
 	memcpy(run->task, e->task, sizeof(run->task));
 	run->number = e->number;
+	run->attempt = attempt;
 	run->ends_ms = site->now_ms + 50 + random_below(&site->random, 600);
 	if (e->deadline_ms > w->lease_ms)
 		w->lease_ms = e->deadline_ms;
@@ -490,6 +550,8 @@
 	for (size_t i = 0; i < w->end_count; i++)
 		if (w->ends[i].number_of_end > e->ends_read)
 			w->ends[kept++] = w->ends[i];
+		else if (w->ends[i].listed && e->ends_read <= w->last_end)
+			note_end(site, &w->ends[i], e->fence);
 	w->end_count = kept;
 	if (e->deadline_ms > w->lease_ms)
 		w->lease_ms = e->deadline_ms;
@@ -567,6 +629,8 @@
 	if (site->worker_cut_until_ms[n][w - site->workers] > site->now_ms ||
 	    !is_running(site, node))
 		return; /* the answer is lost */
+	for (size_t i = 0; i < w->end_count; i++)
+		w->ends[i].listed = true;
 	lease_node_hold_answered(node->lease_node, w->id, hold->serial, &reply,
 				 &lists, site->now_ms);
 }
@@ -741,6 +805,7 @@
 	spec->steps[0].demand.cpu_milli = TASK_MILLI;
 	spec->steps[0].estimate_ms = 300;
 	job->request = ++site->next_request;
+	job->attempts++;
 	job->node = node->index;
 	job->incarnation = node->incarnation;
 	job->open = true;
@@ -1055,6 +1120,7 @@
 	}
 	HASH_CLEAR(hh, site->jobs);
 	HASH_CLEAR(hh, site->requests);
+	HASH_CLEAR(hh, site->noted_ends);
 	talloc_free(site);
 }
 
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -31,6 +31,8 @@
 	uint32_t lost; /* their instance was killed: the connection broke */
 	uint32_t unanswered; /* open at the end; must be 0 */
 	uint32_t duplicate_runs; /* starts while a run of the task is live */
+	/* starts after the same leader acknowledged the task's end as done */
+	uint32_t repeated_runs;
 	uint32_t wrong_answers; /* refused but run, or answered twice */
 	uint32_t faults;
 	uint32_t leaders; /* at the end */
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -105,6 +105,100 @@
 }
 END_TEST
 
+/*
+ * An entry instance that was paused, or whose link was reset, joins its job
+ * again: what has run does not run again.
+ */
+START_TEST(test_returning_entry_joins)
+{
+	struct lease_submission job = fake_orders_submission(ID, 2);
+	struct pool_listed_end end = { 1, TASK, 1, POOL_DONE };
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_answer_start(fake, &fake->starts[1], POOL_OK);
+	lease_remove_entry(fake->dispatch, job.waiter.entry, fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
+	fake_orders_advance(fake, LEASE_ABANDON_MS / 2);
+	job.handed = 1;
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, LEASE_ABANDON_MS);
+	ck_assert_uint_eq(fake_orders_started(fake, TASK)->number, 1);
+	ck_assert_uint_eq(fake->answer_count, 0);
+}
+END_TEST
+
+/*
+ * An entry instance that returns after its job was given up learns that; only
+ * a caller that sends the job again has it run again.
+ */
+START_TEST(test_given_up_job_runs_for_its_caller_only)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	lease_remove_entry(fake->dispatch, job.waiter.entry, fake->now_ms);
+	fake_orders_advance(fake, LEASE_ABANDON_MS + 20);
+	job.handed = 1;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 1);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_GIVEN_UP);
+	job.handed = 0;
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 2 * FAKE_ORDERS_LEASE_MS);
+	ck_assert_uint_ge(fake->start_count, 2);
+}
+END_TEST
+
+/*
+ * A leader reads the end of a run before the run's job is submitted to it; the
+ * entry instance that has the job was paused meanwhile.
+ */
+START_TEST(test_keeps_an_end_for_its_job)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct pool_listed_run row = { TASK, 1, 10 };
+	struct pool_listed_end end = { 1, TASK, 1, POOL_DONE };
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	lease_lead(fake->dispatch, 5, fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", &row, 1, NULL, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
+	fake_orders_advance(fake, 3000);
+	job.handed = 1;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 0);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_COMPLETED);
+}
+END_TEST
+
+/*
+ * A new leader's first hold acknowledges nothing: the worker may have restarted
+ * since this instance led before, and numbers its ends anew.
+ */
+START_TEST(test_first_hold_acknowledges_nothing)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct pool_listed_end end = { 7, TASK, 1, POOL_DONE };
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
+	lease_lead(fake->dispatch, 6, fake->now_ms);
+	ck_assert_uint_eq(fake->holds[fake->hold_count - 1].fence, 6);
+	ck_assert_uint_eq(fake->holds[fake->hold_count - 1].ends_read, 0);
+}
+END_TEST
+
 /* After an unanswered start, a task waits until that run is closed. */
 START_TEST(test_unanswered_start)
 {
@@ -613,6 +707,10 @@
 		"lease_dispatch", set_up, tear_down, test_serves,
 		test_adopts_a_run_found_later, test_adopts_an_end_found_later,
 		test_stops_a_second_run, test_unanswered_start,
+		test_returning_entry_joins,
+		test_given_up_job_runs_for_its_caller_only,
+		test_keeps_an_end_for_its_job,
+		test_first_hold_acknowledges_nothing,
 		test_silent_worker, test_attempts, test_refusals, test_cancel,
 		test_fenced, test_waits_for_a_worker_cut_off,
 		test_waits_for_a_lapsed_worker,
--- a/packages/core/tests/test_lease_node.c
+++ b/packages/core/tests/test_lease_node.c
@@ -1,6 +1,7 @@
 /*
  * Whole instances under faults generated from seeds: no task has two runs at
- * once, no task of a refused job has started, every caller is answered once,
+ * once, none runs again under the leader that has noted its end unless its
+ * caller sent the job again, no task of a refused job has started, every caller is answered once,
  * and one instance leads at the end.
  */
 #include <stdio.h>
@@ -24,6 +25,7 @@
 		       r.refused, r.given_up, r.lost, r.unanswered, r.faults,
 		       r.leaders, r.first_error);
 	ck_assert_uint_eq(r.duplicate_runs, 0);
+	ck_assert_uint_eq(r.repeated_runs, 0);
 	ck_assert_uint_eq(r.wrong_answers, 0);
 	ck_assert_uint_eq(r.unanswered, 0);
 	ck_assert_uint_eq(r.leaders, 1);
