--- a/packages/core/tests/test_lease_node.c
+++ b/packages/core/tests/test_lease_node.c
@@ -1,8 +1,8 @@
 /*
  * Whole instances under faults generated from seeds: no task has two runs at
  * once, none runs again under the leader that has noted its end unless its
- * caller sent the job again, no task of a refused job has started, every caller is answered once,
- * and one instance leads at the end.
+ * caller sent the job again, no task of a refused job has started, every caller
+ * is answered once, and one instance leads at the end.
  */
 #include <stdio.h>
 #include <stdlib.h>
