core: a round of starts costs what it starts, and jobs begin whole

Cause: at 1,100 workers each task's placement walked all workers, each submission walked all workers and runs (pool_offer_found), each event sorted all waiting jobs, and each job handed on at a takeover walked all workers again. The cost of an event rose with the backlog, so that a leader that fell behind stayed behind. In a burst, jobs of a lower priority began in part, waited with their first tasks done, and were given up at the deadline. Change: placement compares an array of spare room and speed; runs that no task needs are a list; a round of starts takes jobs from a heap, and none is made while nothing has room; jobs behind others begin once there is room for all of them, and no task starts that would end after the deadline; what cannot end in time is refused then. No end is acknowledged to a worker that has not answered for a second, since it may have restarted.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -19,12 +19,15 @@
 #define ANSWER_MARGIN_MS 15 /* for the answer to reach the caller */
 /* A round of starts ends after this many steps that found no worker. */
 #define MAX_UNPLACED_STEPS 6
+/* With room for this many tasks, a wider job may begin in part. */
+#define MAX_BEGIN_TASKS 8
 /*
  * A run may be hung if it takes longer than HUNG_FACTOR times its expected time
  * plus HUNG_SLACK_MS: estimates are off by up to 40% and the speeds of workers
  * differ by a factor of up to 2.7.
  */
 #define HUNG_FACTOR 4
+#define ESTIMATE_ERROR_PERCENT 140 /* true run time, of the estimate */
 #define HUNG_SLACK_MS 150
 /* Each leader numbers a task's runs above those of earlier leaders. */
 #define RUN_NUMBERS_PER_LEADER 16
@@ -441,8 +444,10 @@
 	char id[STEP_JOB_ID_BYTES]; /* answering may free the submission */
 	enum lease_reason reason;
 	uint64_t retry_ms = 0;
+	bool was_full = dispatch->is_full;
 	struct lease_job *job;
 
+	dispatch->is_full = false;
 	snprintf(id, sizeof(id), "%s", from->id);
 	if (join_job(dispatch, from))
 		return;
@@ -472,7 +477,9 @@
 		 job->id, from->waiter.entry, job->queue, job->priority,
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
-	lease_run(dispatch, now_ms);
+	/* Behind a backlog it waits for the next round. */
+	if (!was_full)
+		lease_run(dispatch, now_ms);
 	job = find_job(dispatch, id);
 	if (job)
 		lease_note_waiting(dispatch, job);
@@ -552,11 +559,11 @@
  * Returns true while runs of earlier leaders may be open on workers that this
  * instance does not hold.
  */
-static bool is_deferred(const struct lease_dispatch *dispatch,
-			const struct lease_job *job, uint64_t now_ms)
+static bool is_deferred(const struct lease_job *job, uint64_t held_since_ms,
+			uint64_t now_ms)
 {
 	return now_ms < job->earlier_runs_over_ms &&
-	       !pool_all_held(dispatch->pool, job->probed_ms, now_ms);
+	       (!held_since_ms || held_since_ms < job->probed_ms);
 }
 
 static int compare_jobs(const void *a, const void *b, void *arg)
@@ -570,8 +577,10 @@
 	return order->is_before(job_b, job_a);
 }
 
-size_t lease_sort_jobs(struct lease_dispatch *dispatch, uint64_t now_ms)
+/* Puts the jobs that may start now into dispatch->sorted, in no order. */
+static size_t collect_jobs(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
+	uint64_t held_since_ms = pool_all_held_since(dispatch->pool, now_ms);
 	size_t room = talloc_array_length(dispatch->sorted);
 	size_t count = 0;
 	struct lease_job *job;
@@ -583,17 +592,66 @@
 	for (job = dispatch->jobs; job; job = job->hh.next) {
 		if (!job->waiting || job->abandon_at_ms ||
 		    job->deadline_ms <= now_ms ||
-		    is_deferred(dispatch, job, now_ms))
+		    is_deferred(job, held_since_ms, now_ms))
 			continue;
 		lease_refresh_key(job, now_ms);
 		dispatch->sorted[count++] = job;
 	}
+	return count;
+}
+
+size_t lease_sort_jobs(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	size_t count = collect_jobs(dispatch, now_ms);
+
 	if (count)
 		qsort_r(dispatch->sorted, count, sizeof(struct lease_job *),
 			compare_jobs, (void *)dispatch->options.order);
 	return count;
 }
 
+/*
+ * A binary heap with the next job first: a round of starts takes a few of many
+ * waiting jobs, so that sorting all of them would be wasted.
+ */
+
+static void sift_down(struct lease_dispatch *dispatch, size_t count, size_t i)
+{
+	const struct lease_order *order = dispatch->options.order;
+	struct lease_job **heap = dispatch->sorted;
+	struct lease_job *job = heap[i];
+	size_t child;
+
+	for (; (child = 2 * i + 1) < count; i = child) {
+		if (child + 1 < count &&
+		    order->is_before(heap[child + 1], heap[child]))
+			child++;
+		if (!order->is_before(heap[child], job))
+			break;
+		heap[i] = heap[child];
+	}
+	heap[i] = job;
+}
+
+static size_t heap_jobs(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	size_t count = collect_jobs(dispatch, now_ms);
+
+	for (size_t i = count / 2; i--;)
+		sift_down(dispatch, count, i);
+	return count;
+}
+
+static struct lease_job *pop_job(struct lease_dispatch *dispatch, size_t *count)
+{
+	struct lease_job *first = dispatch->sorted[0];
+
+	dispatch->sorted[0] = dispatch->sorted[--*count];
+	if (*count)
+		sift_down(dispatch, *count, 0);
+	return first;
+}
+
 struct step_ref {
 	const struct lease_job *job;
 	uint32_t step;
@@ -635,6 +693,45 @@
 	task->run = pool_start(dispatch->pool, worker, &run, job->text, now_ms);
 }
 
+/*
+ * Returns the longest expected run time of a task that starts now. A job begins
+ * only if it ends before the caller's deadline also when its estimate is low.
+ */
+static uint64_t run_limit_ms(const struct lease_job *job, uint64_t now_ms)
+{
+	uint64_t left_ms = job->deadline_ms - now_ms;
+
+	return job->begun ? left_ms : left_ms * 100 / ESTIMATE_ERROR_PERCENT;
+}
+
+/*
+ * Returns true if a step may start now. Other jobs start before one that is
+ * late or of a lower priority. If it began in part, the rest would wait for
+ * long while its first tasks have used their workers, and often it would end
+ * after the caller's deadline. So it begins once there is room for all of it.
+ */
+static bool may_begin(const struct lease_dispatch *dispatch,
+		      const struct lease_job *job, uint32_t s, uint64_t now_ms)
+{
+	uint32_t demand_milli = job->steps[s].demand.cpu_milli;
+	uint32_t needed = job->states[s].waiting;
+	const struct pool_slot *slots;
+	uint32_t room = 0;
+	size_t count;
+
+	if (job->begun || (!job->lateness && !job->priority) || !demand_milli)
+		return true;
+	if (needed > MAX_BEGIN_TASKS)
+		needed = MAX_BEGIN_TASKS;
+	slots = pool_slots(dispatch->pool, &count);
+	for (size_t i = 0; i < count && room < needed; i++)
+		if (slots[i].spare_milli >= demand_milli &&
+		    pool_is_usable(slots[i].worker, now_ms) &&
+		    !strcmp(slots[i].worker->service, job->service))
+			room += slots[i].spare_milli / demand_milli;
+	return room >= needed;
+}
+
 /* Starts waiting tasks of a step; returns false if one found no worker. */
 static bool start_step(struct lease_dispatch *dispatch, struct lease_job *job,
 		       uint32_t s, uint64_t now_ms)
@@ -645,6 +742,7 @@
 		.service = job->service,
 		.step = &job->steps[s],
 		.far_factor = dispatch->options.far_factor,
+		.limit_ms = run_limit_ms(job, now_ms),
 		.count = count_open_tasks,
 		.ctx = &of,
 		.now_ms = now_ms,
@@ -652,6 +750,8 @@
 	uint32_t started = 0;
 	bool placed = true;
 
+	if (!may_begin(dispatch, job, s, now_ms))
+		return false;
 	for (uint32_t i = 0; i < job->steps[s].count && state->waiting; i++) {
 		struct task *task = &state->tasks[i];
 		struct pool_worker *worker;
@@ -659,8 +759,8 @@
 		if (task->state != TASK_WAITING)
 			continue;
 		request.avoid = task->avoid;
-		worker = place_pick(dispatch->options.place,
-				    pool_workers(dispatch->pool), &request);
+		worker = place_pick(dispatch->options.place, dispatch->pool,
+				    &request);
 		placed = worker != NULL;
 		if (!placed)
 			break;
@@ -681,23 +781,35 @@
 	dispatch->no_start_until_ms = until_ms;
 }
 
-void lease_run(struct lease_dispatch *dispatch, uint64_t now_ms)
+static bool may_start(const struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	return dispatch->waiting_tasks && pool_leads(dispatch->pool) &&
+	       now_ms >= dispatch->no_start_until_ms;
+}
+
+static void run_round(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
+	size_t count = heap_jobs(dispatch, now_ms);
 	uint32_t unplaced = 0;
-	size_t count;
 
-	if (!dispatch->waiting_tasks || !pool_leads(dispatch->pool) ||
-	    now_ms < dispatch->no_start_until_ms)
-		return;
-	count = lease_sort_jobs(dispatch, now_ms);
-	for (size_t i = 0; i < count && unplaced < MAX_UNPLACED_STEPS; i++) {
-		struct lease_job *job = dispatch->sorted[i];
+	while (count && unplaced < MAX_UNPLACED_STEPS) {
+		struct lease_job *job = pop_job(dispatch, &count);
 
 		for (uint32_t s = 0; s < job->step_count; s++)
 			if (job->states[s].waiting && is_step_ready(job, s) &&
 			    !start_step(dispatch, job, s, now_ms))
 				unplaced++;
 	}
+	dispatch->is_full = unplaced >= MAX_UNPLACED_STEPS;
+	dispatch->room_version = pool_room_version(dispatch->pool);
+}
+
+void lease_run(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	if (may_start(dispatch, now_ms) &&
+	    (!dispatch->is_full ||
+	     dispatch->room_version != pool_room_version(dispatch->pool)))
+		run_round(dispatch, now_ms);
 }
 
 /* Time */
@@ -757,6 +869,21 @@
 	return job->lateness > 1;
 }
 
+/*
+ * Returns true if the waiting tasks would end after the caller's deadline even
+ * if they started now on the fastest worker.
+ */
+static bool is_hopeless(const struct lease_dispatch *dispatch,
+			struct lease_job *job, uint64_t now_ms)
+{
+	if (!dispatch->options.admission || !job->waiting ||
+	    dispatch->fastest <= 0)
+		return false;
+	lease_refresh_key(job, now_ms);
+	return (double)job->remaining_ms / dispatch->fastest >
+	       (double)run_limit_ms(job, now_ms);
+}
+
 static void tick_job(struct lease_dispatch *dispatch, struct lease_job *job,
 		     uint64_t now_ms)
 {
@@ -767,9 +894,11 @@
 		lease_finish(dispatch, job,
 			     job->begun ? LEASE_GIVEN_UP : LEASE_REFUSED,
 			     LEASE_DEADLINE, now_ms);
-	else if (is_too_late(dispatch, job, now_ms))
-		lease_finish(dispatch, job, LEASE_REFUSED, LEASE_OVERLOADED,
-			     now_ms);
+	else if (is_too_late(dispatch, job, now_ms) ||
+		 is_hopeless(dispatch, job, now_ms))
+		lease_finish(dispatch, job,
+			     job->begun ? LEASE_GIVEN_UP : LEASE_REFUSED,
+			     LEASE_OVERLOADED, now_ms);
 	else if (job->running)
 		stop_hung(dispatch, job, now_ms);
 }
@@ -798,7 +927,9 @@
 		lease_shed(dispatch, now_ms);
 	}
 	pool_tick(dispatch->pool, now_ms);
-	lease_run(dispatch, now_ms);
+	/* Jobs became late, or a worker's breaker closed. */
+	if (may_start(dispatch, now_ms))
+		run_round(dispatch, now_ms);
 }
 
 /* Leadership */
--- a/packages/core/lease_dispatch_admission.c
+++ b/packages/core/lease_dispatch_admission.c
@@ -71,8 +71,9 @@
 }
 
 /*
- * Counts the processors of usable workers. Workers whose first answer to this
- * leader is still pending count, too, else a new leader would refuse jobs.
+ * Counts the processors of usable workers and finds the fastest one. Workers
+ * whose first answer to this leader is still pending count, too, else a new
+ * leader would refuse jobs.
  */
 static void count_workers(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
@@ -81,11 +82,16 @@
 
 	for (load = dispatch->loads; load; load = load->hh.next)
 		load->usable_milli = 0;
-	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry)
-		if (pool_is_usable(worker, now_ms) ||
-		    pool_awaits_first_answer(worker))
-			get_load(dispatch, worker->service)->usable_milli +=
-				worker->capacity.cpu_milli * worker->speed;
+	dispatch->fastest = 0;
+	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry) {
+		if (!pool_is_usable(worker, now_ms) &&
+		    !pool_awaits_first_answer(worker))
+			continue;
+		get_load(dispatch, worker->service)->usable_milli +=
+			worker->capacity.cpu_milli * worker->speed;
+		if (worker->speed > dispatch->fastest)
+			dispatch->fastest = worker->speed;
+	}
 	for (load = dispatch->loads; load; load = load->hh.next)
 		forecast_set_usable(&load->forecast,
 				    load->usable_milli * PACKING_PERCENT / 100);
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -99,7 +99,11 @@
 	uint32_t running_tasks;
 	uint64_t no_start_until_ms;
 	struct lease_job **sorted; /* result of lease_sort_jobs */
+	/* A round of starts would find no more room, as far as is known. */
+	bool is_full;
+	uint64_t room_version; /* of the pool at the last round of starts */
 	struct service_load *loads;
+	double fastest; /* speed of the fastest usable worker; 0: none */
 	uint64_t loads_counted_ms; /* time of the last lease_refresh_loads */
 	uint64_t next_shed_ms;
 };
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -167,6 +167,12 @@
 	relay_flush(lease_node->relay);
 }
 
+void lease_node_schedule_run(struct lease_node *lease_node)
+{
+	lease_node->run_due = true;
+	lease_node->ports->wake(lease_node->ports->ctx);
+}
+
 /* Configuration */
 
 const struct queue_config *
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -114,6 +114,7 @@
 	};
 
 	lease_submit(lease_node->dispatch, &submission, now_ms);
+	lease_node_schedule_run(lease_node);
 }
 
 static bool is_linked(struct lease_node *lease_node, uint64_t incarnation)
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -315,10 +315,12 @@
 
 	for (size_t i = 0; i < msg->n_steps; i++)
 		unpack_step(&steps[i], msg->steps[i]);
-	if (lease_node->claim)
+	if (lease_node->claim) {
 		lease_submit(lease_node->dispatch, &submission, now_ms);
-	else
+		lease_node_schedule_run(lease_node);
+	} else {
 		lease_node_on_answer(lease_node, &refusal);
+	}
 	talloc_free(mem);
 }
 
@@ -418,8 +420,7 @@
 	case BERGAMOT__PEER__BODY_WORKER_ANSWERS:
 		relay_receive_answers(lease_node->relay, msg->worker_answers,
 				      now_ms);
-		lease_node->run_due = true;
-		lease_node->ports->wake(lease_node->ports->ctx);
+		lease_node_schedule_run(lease_node);
 		break;
 	default:
 		log_debug(LOG_PEER,
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -27,7 +27,8 @@
 	uint64_t deadline_ms;
 	struct step_job *job;
 	uint64_t sent_to; /* incarnation of the leader that has it; 0: none */
-	uint64_t former; /* leader it was taken back from, not cancelled there */
+	uint64_t
+		former; /* leader it was taken back from, not cancelled there */
 	uint32_t handed; /* number of earlier leaders that may have had it */
 	uint64_t closed_ms; /* by when these are certain to have given it up */
 };
@@ -72,6 +73,9 @@
 /* Detects a pause of the process; to be called first on each event. */
 void lease_node_check_pause(struct lease_node *lease_node, uint64_t now_ms);
 
+/* Schedules a round of starts, together with those of other events. */
+void lease_node_schedule_run(struct lease_node *lease_node);
+
 /* lease_node_entry.c */
 
 /* Sends jobs without a leader, or at a former one, to the current leader. */
--- a/packages/core/lease_place.c
+++ b/packages/core/lease_place.c
@@ -61,9 +61,9 @@
 }
 
 static const struct place_ops policies[] = {
-	{ "fastest", is_faster },
-	{ "best_fit", fits_tighter },
-	{ "first", keep_first },
+	{ "fastest", is_faster, true },
+	{ "best_fit", fits_tighter, false },
+	{ "first", keep_first, false },
 };
 
 const struct place_ops *place_find(const char *name)
@@ -85,25 +85,41 @@
 		return false;
 	if (step->label && !has_label(worker, step->label))
 		return false;
+	if (place_expected_ms(request, worker) > request->limit_ms)
+		return false;
 	return !step->max_per_worker ||
 	       request->count(request->ctx, worker) < step->max_per_worker;
 }
 
 struct pool_worker *place_pick(const struct place_ops *ops,
-			       const struct pool_worker_list *workers,
+			       const struct lease_pool *pool,
 			       const struct place_request *request)
 {
+	uint32_t demand_milli = request->step->demand.cpu_milli;
 	struct pool_worker *avoided = NULL;
 	struct pool_worker *best = NULL;
-	struct pool_worker *worker;
+	double min_speed = 0;
+	const struct pool_slot *slots;
+	size_t count;
 
-	TAILQ_FOREACH(worker, workers, entry) {
-		if (!is_allowed(request, worker))
+	slots = pool_slots(pool, &count);
+	for (size_t i = 0; i < count; i++) {
+		struct pool_worker *worker = slots[i].worker;
+
+		/* Decides for most workers without touching them. */
+		if (slots[i].spare_milli < demand_milli ||
+		    slots[i].speed < min_speed)
 			continue;
-		if (request->avoid && !strcmp(request->avoid, worker->id))
+		if ((best && !ops->is_better(request, worker, best)) ||
+		    !is_allowed(request, worker))
+			continue;
+		if (request->avoid && !strcmp(request->avoid, worker->id)) {
 			avoided = worker;
-		else if (!best || ops->is_better(request, worker, best))
-			best = worker;
+			continue;
+		}
+		best = worker;
+		if (ops->by_speed)
+			min_speed = effective_speed(request, best);
 	}
 	return best ? best : avoided;
 }
--- a/packages/core/lease_place.h
+++ b/packages/core/lease_place.h
@@ -14,6 +14,7 @@
 	const struct job_step *step;
 	double far_factor; /* multiple of run time outside the step's rack */
 	const char *avoid; /* worker where the task failed last, or NULL */
+	uint64_t limit_ms; /* for the expected run time */
 	/* Returns the step's open tasks on a worker; for max_per_worker. */
 	uint32_t (*count)(void *ctx, const struct pool_worker *worker);
 	void *ctx;
@@ -26,6 +27,7 @@
 	bool (*is_better)(const struct place_request *request,
 			  const struct pool_worker *a,
 			  const struct pool_worker *b);
+	bool by_speed; /* a worker of a lower speed is never better */
 };
 
 /* Returns the policy fastest, best_fit or first; NULL for another name. */
@@ -36,7 +38,7 @@
  * worker to avoid only if no other one has room.
  */
 struct pool_worker *place_pick(const struct place_ops *ops,
-			       const struct pool_worker_list *workers,
+			       const struct lease_pool *pool,
 			       const struct place_request *request);
 
 /*
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -30,6 +30,8 @@
 	pool->options = *options;
 	pool->ports = options->ports;
 	TAILQ_INIT(&pool->workers);
+	LIST_INIT(&pool->taskless);
+	pool->room_version = 1;
 	talloc_set_destructor(pool, destroy);
 	return pool;
 }
@@ -67,12 +69,54 @@
 	worker->blocked_until_ms = 0;
 	worker->failed_streak = worker->open_rounds = 0;
 	worker->speed = 1.0;
+	pool_update_slot(pool, worker);
+}
+
+static struct pool_slot *add_slot(struct lease_pool *pool)
+{
+	size_t room = talloc_array_length(pool->slots);
+
+	if (pool->slot_count == room)
+		pool->slots =
+			talloc_realloc(pool, pool->slots, struct pool_slot,
+				       room ? room * 2 : 64);
+	return &pool->slots[pool->slot_count++];
+}
+
+static void remove_slot(struct lease_pool *pool, size_t index)
+{
+	pool->slots[index] = pool->slots[--pool->slot_count];
+	pool->slots[index].worker->slot = index;
+}
+
+void pool_update_slot(struct lease_pool *pool, struct pool_worker *worker)
+{
+	struct pool_slot *slot = &pool->slots[worker->slot];
+	uint32_t capacity = worker->capacity.cpu_milli;
+	uint32_t used = worker->used.cpu_milli;
+
+	slot->worker = worker;
+	slot->speed = worker->speed;
+	slot->spare_milli = capacity > used ? capacity - used : 0;
+	pool->room_version++;
+}
+
+const struct pool_slot *pool_slots(const struct lease_pool *pool, size_t *count)
+{
+	*count = pool->slot_count;
+	return pool->slots;
+}
+
+uint64_t pool_room_version(const struct lease_pool *pool)
+{
+	return pool->room_version;
 }
 
 static void free_worker(struct lease_pool *pool, struct pool_worker *worker)
 {
 	TAILQ_REMOVE(&pool->workers, worker, entry);
 	HASH_REMOVE(pool->by_id, worker);
+	remove_slot(pool, worker->slot);
 	talloc_free(worker);
 }
 
@@ -83,6 +127,9 @@
 	worker->id = talloc_strdup(worker, id);
 	worker->speed = 1.0;
 	LIST_INIT(&worker->runs);
+	worker->slot = pool->slot_count;
+	add_slot(pool);
+	pool_update_slot(pool, worker);
 	HASH_ADD_KEYPTR(hh, pool->by_id, worker->id, strlen(worker->id),
 			worker);
 	TAILQ_INSERT_TAIL(&pool->workers, worker, entry);
@@ -140,6 +187,7 @@
 	worker->capacity = registration->capacity;
 	worker->draining = registration->draining;
 	worker->registered = true;
+	pool_update_slot(pool, worker);
 }
 
 void pool_unregister_worker(struct lease_pool *pool, const char *id,
@@ -190,21 +238,24 @@
 	pool->list_read_ms = 0;
 }
 
-bool pool_all_held(const struct lease_pool *pool, uint64_t since_ms,
-		   uint64_t now_ms)
+uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
+	uint64_t since_ms = now_ms;
 
 	if (!pool->list_read_ms ||
 	    now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
-		return false;
-	TAILQ_FOREACH(worker, &pool->workers, entry)
-		if (worker->registered
-			    ? worker->state != POOL_HELD || worker->failures ||
-				      worker->probed_ms < since_ms
-			    : !worker->draining)
-			return false;
-	return true;
+		return 0;
+	TAILQ_FOREACH(worker, &pool->workers, entry) {
+		if (!worker->registered && worker->draining)
+			continue;
+		if (!worker->registered || worker->state != POOL_HELD ||
+		    worker->failures)
+			return 0;
+		if (worker->probed_ms < since_ms)
+			since_ms = worker->probed_ms;
+	}
+	return since_ms;
 }
 
 bool pool_has_unanswered(const struct lease_pool *pool, uint64_t now_ms)
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -99,10 +99,22 @@
 	char failed_job[STEP_JOB_ID_BYTES];
 	LIST_HEAD(, pool_run) runs;
 	uint32_t run_count;
+	size_t slot; /* index in the pool's slots */
+};
+
+/*
+ * What placement compares of each worker, in one array: a task is placed
+ * thousands of times a second among more than a thousand workers.
+ */
+struct pool_slot {
+	struct pool_worker *worker;
+	double speed;
+	uint32_t spare_milli; /* capacity that open runs leave */
 };
 
 struct pool_run {
 	LIST_ENTRY(pool_run) in_worker;
+	LIST_ENTRY(pool_run) in_taskless; /* while is_taskless */
 	UT_hash_handle hh; /* by token */
 	uint64_t token; /* identifies it in calls and answers */
 	struct pool_worker *worker;
@@ -122,6 +134,7 @@
 	uint64_t listed_serial; /* last hold whose lists contained it */
 	uint32_t percent; /* progress, as last listed */
 	bool started_here; /* started by this leader; its run time counts */
+	bool is_taskless; /* in the pool's list of runs that no task needs */
 };
 
 TAILQ_HEAD(pool_worker_list, pool_worker);
@@ -269,13 +282,13 @@
 bool pool_leads(const struct lease_pool *pool);
 
 /*
- * Returns true if every worker has answered a probe under our fencing token
- * that was sent at since_ms or later. A worker that does not answer, or whose
- * registration has lapsed, may have been taken over by another instance; one
- * that was drained before it left is not counted.
+ * Returns a time such that every worker has answered a probe under our fencing
+ * token that was sent then or later; 0 if there is none. A worker that does not
+ * answer, or whose registration has lapsed, may have been taken over by another
+ * instance; one that was drained before it left is not counted. Walks through
+ * all workers.
  */
-bool pool_all_held(const struct lease_pool *pool, uint64_t since_ms,
-		   uint64_t now_ms);
+uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms);
 
 /*
  * Returns true if a registered worker has not answered since this instance
@@ -292,7 +305,7 @@
 
 /*
  * Sends a probe, a hold that does not wait, to all held workers, unless the
- * last one is recent. Returns the time of the probe, for pool_all_held. It is
+ * last one is recent. Returns its time, for pool_all_held_since. It is
  * needed because a worker that has restarted does not know our fencing token:
  * another leader may have used it since its last answer.
  */
@@ -341,6 +354,16 @@
 
 const struct pool_worker_list *pool_workers(const struct lease_pool *pool);
 
+/* Returns the slots of all workers, in no order, and their number. */
+const struct pool_slot *pool_slots(const struct lease_pool *pool,
+				   size_t *count);
+
+/*
+ * Returns a number that rises whenever a worker may have got room for a task:
+ * a run was closed, or a worker became usable.
+ */
+uint64_t pool_room_version(const struct lease_pool *pool);
+
 /* Returns true if tasks may be started on the worker now. */
 bool pool_is_usable(const struct pool_worker *worker, uint64_t now_ms);
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -18,6 +18,7 @@
 #define WAIT_SLACK_MS 30 /* for the start and the answer in flight */
 #define OVERDUE_DIVISOR 4 /* an overdue task: waits its run time / 4 */
 #define HOLD_TIMEOUT_MS 75 /* on top of the wait, as for a start */
+#define MAX_ACK_AGE_MS 1000 /* since the last answer; above MAX_WAIT_MS */
 #define IDLE_PROBE_MS 5000 /* keeps the clock's drift (2%) under 0.1 s */
 /* A start that is unanswered for longer is looked up in the worker's lists. */
 #define UNANSWERED_PROBE_MS 30
@@ -59,9 +60,11 @@
  * A worker that has not answered lately may have restarted, and numbers its
  * ends anew: acknowledging our number would drop ends that nobody has read.
  */
-static uint64_t ends_to_acknowledge(const struct pool_worker *worker)
+static uint64_t ends_to_acknowledge(const struct pool_worker *worker,
+				    uint64_t now_ms)
 {
-	return worker->state == POOL_HELD && !worker->failures
+	return worker->state == POOL_HELD && !worker->failures &&
+			       now_ms - worker->answered_ms <= MAX_ACK_AGE_MS
 		       ? worker->ends_read
 		       : 0;
 }
@@ -75,7 +78,7 @@
 		.data_centre = worker->data_centre,
 		.serial = ++pool->next_serial,
 		.fence = pool->fence,
-		.ends_read = ends_to_acknowledge(worker),
+		.ends_read = ends_to_acknowledge(worker, now_ms),
 		.wait_ms = wait_ms,
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
 	};
@@ -351,6 +354,8 @@
 	if (worker->failures >= POOL_LOST_HOLDS)
 		log_info(LOG_TARGET, "worker %s: answers holds again",
 			 worker->id);
+	if (worker->failures)
+		pool->room_version++;
 	worker->failures = 0;
 	worker->retry_ms = 0;
 	worker->answered_ms = now_ms;
@@ -360,6 +365,8 @@
 	for (size_t i = 0; i < lists->ended_count; i++)
 		apply_ended(pool, worker, &lists->ended[i], now_ms);
 	close_unlisted(pool, worker, serial, now_ms);
+	if (worker->state != POOL_HELD)
+		pool->room_version++;
 	worker->state = POOL_HELD;
 }
 
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -36,20 +36,34 @@
 	return end_texts[how];
 }
 
-static void reserve_demand(struct pool_worker *worker,
+static void reserve_demand(struct lease_pool *pool, struct pool_worker *worker,
 			   const struct step_job_demand *d)
 {
 	worker->used.cpu_milli += d->cpu_milli;
 	worker->used.mem_mb += d->mem_mb;
 	worker->used.accelerators += d->accelerators;
+	pool_update_slot(pool, worker);
 }
 
-static void release_demand(struct pool_worker *worker,
+static void release_demand(struct lease_pool *pool, struct pool_worker *worker,
 			   const struct step_job_demand *d)
 {
 	worker->used.cpu_milli -= d->cpu_milli;
 	worker->used.mem_mb -= d->mem_mb;
 	worker->used.accelerators -= d->accelerators;
+	pool_update_slot(pool, worker);
+}
+
+static void set_taskless(struct lease_pool *pool, struct pool_run *run,
+			 bool is_taskless)
+{
+	if (run->is_taskless == is_taskless)
+		return;
+	run->is_taskless = is_taskless;
+	if (is_taskless)
+		LIST_INSERT_HEAD(&pool->taskless, run, in_taskless);
+	else
+		LIST_REMOVE(run, in_taskless);
 }
 
 struct pool_run *pool_add_run(struct lease_pool *pool,
@@ -64,13 +78,14 @@
 	LIST_INSERT_HEAD(&worker->runs, run, in_worker);
 	HASH_ADD(hh, pool->by_token, token, sizeof(run->token), run);
 	worker->run_count++;
-	reserve_demand(worker, &run->demand);
+	reserve_demand(pool, worker, &run->demand);
 	return run;
 }
 
 void pool_free_run(struct lease_pool *pool, struct pool_run *run)
 {
-	release_demand(run->worker, &run->demand);
+	release_demand(pool, run->worker, &run->demand);
+	set_taskless(pool, run, false);
 	run->worker->run_count--;
 	LIST_REMOVE(run, in_worker);
 	HASH_REMOVE(pool->by_token, run);
@@ -187,9 +202,10 @@
 	struct pool_worker *worker = run->worker;
 	bool job_found;
 
-	release_demand(worker, &run->demand);
+	release_demand(pool, worker, &run->demand);
 	job_found = pool->options.found_run(pool->options.ctx, run);
-	reserve_demand(worker, &run->demand);
+	reserve_demand(pool, worker, &run->demand);
+	set_taskless(pool, run, !run->task);
 	if (run->task)
 		run->stop_at_ms = 0;
 	else if (job_found)
@@ -256,6 +272,7 @@
 		  uint64_t now_ms)
 {
 	run->task = NULL;
+	set_taskless(pool, run, true);
 	pool_stop(pool, run, now_ms);
 }
 
@@ -378,15 +395,16 @@
 
 void pool_offer_found(struct lease_pool *pool, const char *job, uint64_t now_ms)
 {
+	struct pool_run *run = LIST_FIRST(&pool->taskless);
+	struct pool_run *next;
 	struct found_job *found;
 	struct found_end *end;
-	struct pool_worker *worker;
-	struct pool_run *run;
 
-	TAILQ_FOREACH(worker, &pool->workers, entry)
-		LIST_FOREACH(run, &worker->runs, in_worker)
-			if (!run->task && !strcmp(run->job, job))
-				pool_offer_run(pool, run, now_ms);
+	for (; run; run = next) {
+		next = LIST_NEXT(run, in_taskless);
+		if (!strcmp(run->job, job))
+			pool_offer_run(pool, run, now_ms);
+	}
 	HASH_FIND_STR(pool->found, job, found);
 	if (!found)
 		return;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -39,6 +39,10 @@
 	struct pool_worker_list workers;
 	struct pool_run *by_token;
 	struct found_job *found;
+	LIST_HEAD(, pool_run) taskless; /* runs that no task needs */
+	struct pool_slot *slots; /* one for each worker */
+	size_t slot_count;
+	uint64_t room_version;
 	uint64_t next_token;
 	uint64_t next_serial;
 	uint64_t fence; /* 0: this instance does not lead */
@@ -52,6 +56,9 @@
 
 struct pool_worker *pool_find_worker(struct lease_pool *pool, const char *id);
 
+/* To be called when the worker's speed, capacity or reservations change. */
+void pool_update_slot(struct lease_pool *pool, struct pool_worker *worker);
+
 enum pool_life { POOL_LIFE_SAME, POOL_LIFE_NEWER, POOL_LIFE_OLDER };
 
 /*
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -199,6 +199,91 @@
 }
 END_TEST
 
+/* A job of a lower priority begins once there is room for all of it. */
+START_TEST(test_lower_priority_begins_whole)
+{
+	struct lease_submission first = fake_orders_submission(ID, 2);
+	struct lease_submission job =
+		fake_orders_submission("00000000000000a2", 3);
+
+	job.priority = 1;
+	job.waiter.request++;
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &first);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 30);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_add_worker(fake, "w2", 1000);
+	fake_orders_advance(fake, 30);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
+	fake_orders_advance(fake, 30);
+	ck_assert_uint_eq(fake->start_count, 5);
+}
+END_TEST
+
+/* The same work of the first priority takes the room that there is. */
+START_TEST(test_first_priority_begins_in_part)
+{
+	struct lease_submission job = fake_orders_submission(ID, 3);
+
+	fake_orders_add_worker(fake, "w1", 2000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
+/*
+ * A job whose tasks would end after its caller's deadline on any worker is
+ * refused at once; it doesn't begin, nor wait for the deadline.
+ */
+START_TEST(test_refuses_what_ends_too_late)
+{
+	struct lease_submission first = fake_orders_submission(ID, 4);
+	struct lease_submission job =
+		fake_orders_submission("00000000000000a2", 1);
+
+	job.waiter.request++;
+	job.remaining_ms = 200;
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &first);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->answer_count, 0);
+	fake_orders_advance(fake, 70);
+	ck_assert_uint_eq(fake->start_count, 4);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_REFUSED);
+	ck_assert_int_eq(fake->answers[0].reason, LEASE_OVERLOADED);
+}
+END_TEST
+
+/*
+ * A run that its job no longer needs stays open until the worker has stopped
+ * it; the job, sent again by its caller, has no second run meanwhile.
+ */
+START_TEST(test_resent_job_waits_for_its_stopped_run)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	lease_cancel(fake->dispatch, &job.waiter, ID, fake->now_ms);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 30);
+	ck_assert_uint_eq(fake->start_count, 1);
+	ck_assert_uint_eq(fake->stop_count, 1);
+	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
+	fake_orders_advance(fake, 2 * FAKE_ORDERS_STOP_MS);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
 /* After an unanswered start, a task waits until that run is closed. */
 START_TEST(test_unanswered_start)
 {
@@ -707,13 +792,16 @@
 		"lease_dispatch", set_up, tear_down, test_serves,
 		test_adopts_a_run_found_later, test_adopts_an_end_found_later,
 		test_stops_a_second_run, test_unanswered_start,
+		test_lower_priority_begins_whole,
+		test_first_priority_begins_in_part,
+		test_refuses_what_ends_too_late,
+		test_resent_job_waits_for_its_stopped_run,
 		test_returning_entry_joins,
 		test_given_up_job_runs_for_its_caller_only,
 		test_keeps_an_end_for_its_job,
-		test_first_hold_acknowledges_nothing,
-		test_silent_worker, test_attempts, test_refusals, test_cancel,
-		test_fenced, test_waits_for_a_worker_cut_off,
-		test_waits_for_a_lapsed_worker,
+		test_first_hold_acknowledges_nothing, test_silent_worker,
+		test_attempts, test_refusals, test_cancel, test_fenced,
+		test_waits_for_a_worker_cut_off, test_waits_for_a_lapsed_worker,
 		test_start_reaches_a_restarted_worker,
 		test_probes_before_a_job_of_another_leader,
 		test_nothing_starts_after_the_deadline, test_young_leader_waits,
