core: fewer beats between instances that may not lead; addresses once

Each pair of instances exchanges a beat a second, 21,000 a second at 147 instances, and beats that were due with the 2 s period carried the addresses of all members, up to 2.6 KB each on links of 20 Mbit/s. Change: two members that may not claim exchange a beat every 5 s; a beat lists the members whose link came up since the last one.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -7,7 +7,12 @@
 #include "base/log.h"
 
 #define FOLLOWER_BEAT_MS 1000 /* between two members that do not lead */
-#define FOLLOWER_VALID_MS 4000 /* four of these beats */
+/*
+ * Between two members of which neither may claim. On a large site most pairs
+ * are of this kind, and decide little about one another.
+ */
+#define IDLE_BEAT_MS 5000
+#define FOLLOWER_VALID_BEATS 4
 /* Links to live members are up this long after the start. */
 #define START_WAIT_MS 400
 #define UNLINKED_START_WAIT_MS 3000 /* if no member has sent a beat yet */
@@ -124,11 +129,23 @@
 	return count;
 }
 
+static uint64_t beat_period_ms(const struct leadership *leadership,
+			       const struct leader_member *member)
+{
+	if (member->claim || leadership->claim)
+		return LEADER_BEAT_MS;
+	if (member->weight || leadership->candidate_ms)
+		return FOLLOWER_BEAT_MS;
+	return IDLE_BEAT_MS;
+}
+
 bool leader_is_live(const struct leadership *leadership,
 		    const struct leader_member *member, uint64_t now_ms)
 {
 	bool leads = member->claim || leadership->claim;
-	uint64_t valid_ms = leads ? LEADER_VALID_MS : FOLLOWER_VALID_MS;
+	uint64_t valid_ms = leads ? LEADER_VALID_MS
+				  : beat_period_ms(leadership, member) *
+					    FOLLOWER_VALID_BEATS;
 
 	return member->linked && member->last_beat_ms &&
 	       now_ms - member->last_beat_ms <= valid_ms;
@@ -174,6 +191,7 @@
 	member->linked = true;
 	member->link_changed_ms = now_ms;
 	member->beat_due_ms = 0;
+	member->listed_ms = 0;
 }
 
 void leader_link_down(struct leadership *leadership, uint64_t incarnation,
@@ -235,6 +253,8 @@
 	}
 	if (member->resigned && leadership->leader == incarnation)
 		leadership->resigned = true;
+	if (!member->weight && beat->weight)
+		member->beat_due_ms = 0; /* the beat period becomes shorter */
 	member->last_beat_ms = now_ms;
 	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
@@ -277,12 +297,9 @@
 bool leader_beat_due(struct leadership *leadership,
 		     struct leader_member *member, uint64_t now_ms)
 {
-	bool leads = member->claim || leadership->claim;
-
 	if (!member->linked || member->beat_due_ms > now_ms)
 		return false;
-	member->beat_due_ms =
-		now_ms + (leads ? LEADER_BEAT_MS : FOLLOWER_BEAT_MS);
+	member->beat_due_ms = now_ms + beat_period_ms(leadership, member);
 	return true;
 }
 
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -59,6 +59,7 @@
 	bool overloaded; /* gave up its claim because it was overloaded */
 	uint64_t config_version;
 	uint64_t beat_due_ms;
+	uint64_t listed_ms; /* when it was last told of links; 0: never */
 };
 
 struct leader_options {
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -7,7 +7,6 @@
 #include "base/log.h"
 #include "wire/deflate.h"
 
-#define ADDRESS_PERIOD_MS 2000 /* of beats that carry members' addresses */
 #define MAX_CONFIG_BYTES (4u << 20) /* of a document as text */
 #define MAX_BACKLOGS 256
 
@@ -71,24 +70,26 @@
 	}
 }
 
-static void fill_addresses(struct lease_node *lease_node, TALLOC_CTX *mem,
-			   Bergamot__LeaderBeat *beat)
+/* Lists the members whose link came up since the last beat to this member. */
+static void fill_addresses(struct lease_node *lease_node,
+			   struct leader_member *to, TALLOC_CTX *mem,
+			   Bergamot__LeaderBeat *beat, uint64_t now_ms)
 {
 	const struct leader_member *m;
 
 	for (m = leader_members(lease_node->members); m; m = m->hh.next) {
-		if (!m->linked)
+		if (!m->linked || m->link_changed_ms < to->listed_ms)
 			continue;
 		beat->addresses = talloc_realloc(mem, beat->addresses, char *,
 						 beat->n_addresses + 1);
 		beat->addresses[beat->n_addresses++] = m->address;
 	}
+	to->listed_ms = now_ms;
 }
 
 static void send_beat(struct lease_node *lease_node,
-		      const struct leader_member *member,
-		      const struct waiting_rows *rows, bool addresses,
-		      uint64_t now_ms)
+		      struct leader_member *member,
+		      const struct waiting_rows *rows, uint64_t now_ms)
 {
 	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -98,8 +99,7 @@
 		lease_node->config ? lease_node->config->version : 0;
 	beat.waiting = rows->rows;
 	beat.n_waiting = rows->count;
-	if (addresses)
-		fill_addresses(lease_node, rows->mem, &beat);
+	fill_addresses(lease_node, member, rows->mem, &beat, now_ms);
 	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
 	peer.leader_beat = &beat;
 	counter_add(COUNTER_PEER_HEARTBEATS, 1);
@@ -109,7 +109,6 @@
 void lease_node_send_beats(struct lease_node *lease_node, uint64_t now_ms)
 {
 	struct waiting_rows rows = { .mem = NULL };
-	bool addresses = lease_node->addresses_due_ms <= now_ms;
 	struct leader_member *m;
 	bool listed = false;
 
@@ -123,7 +122,7 @@
 						   add_waiting, &rows);
 			listed = true;
 		}
-		send_beat(lease_node, m, &rows, addresses, now_ms);
+		send_beat(lease_node, m, &rows, now_ms);
 	}
 	if (listed && lease_node->claim) {
 		clear_backlogs(lease_node);
@@ -131,8 +130,6 @@
 			set_backlog(lease_node, rows.rows[i]->queue,
 				    rows.rows[i]->waiting);
 	}
-	if (addresses)
-		lease_node->addresses_due_ms = now_ms + ADDRESS_PERIOD_MS;
 	talloc_free(rows.mem);
 }
 
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -60,7 +60,6 @@
 	uint64_t leaderless_ms; /* since when nobody leads; 0: a member leads */
 	uint64_t active_ms; /* when this process last ran */
 	uint64_t claim_raised_ms; /* when the claim was last raised */
-	uint64_t addresses_due_ms; /* when beats next carry addresses */
 	bool standby; /* reads the list of workers, to be able to lead */
 	uint64_t workers_read_ms; /* when the list was first read; 0: never */
 	bool run_due; /* answers of relays may have freed workers */
