core: lost answers are noticed when an end or an answer is due

A start without an answer is looked up after 30 ms or four times the mean. A hold that was sent for a task of 900 ms waits 500 ms and times out after another 75; if its answer is lost, the ends of short tasks that started later are learned after up to 0.9 s. Ruled out: backlog (at most 63 tasks waiting), slow answers (mean some ms). Change: another hold is sent once the end of a run is overdue that the pending one was not sent for; a start is looked up after the mean answer time and four deviations, at least 12 ms, later where many have no answer.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -406,13 +406,16 @@
 	struct pool_worker *worker = TAILQ_FIRST(&pool->workers);
 	struct pool_worker *next;
 	bool late = now_ms - pool->ticked_ms > LATE_TICK_MS;
+	double limit_ms = pool_answer_limit_ms(pool);
 
 	pool->ticked_ms = now_ms;
 	expire_found_ends(pool, now_ms);
 	for (; worker; worker = next) {
 		next = TAILQ_NEXT(worker, entry);
-		if (pool->fence && !late)
-			pool_probe_unanswered(pool, worker, now_ms);
+		if (pool->fence && !late) {
+			pool_probe_unanswered(pool, worker, limit_ms, now_ms);
+			pool_probe_overdue(pool, worker, now_ms);
+		}
 		if (pool->fence)
 			tick_worker(pool, worker, now_ms);
 		if (is_removable(worker, now_ms))
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -20,10 +20,14 @@
 #define HOLD_TIMEOUT_MS 75 /* on top of the wait, as for a start */
 #define MAX_ACK_AGE_MS 1000 /* since the last answer; above MAX_WAIT_MS */
 #define IDLE_PROBE_MS 5000 /* keeps the clock's drift (2%) under 0.1 s */
-/* A start that is unanswered for longer is looked up in the worker's lists. */
-#define UNANSWERED_PROBE_MS 30
-/* No probe before this multiple of the mean answer time: it adds load. */
-#define UNANSWERED_PROBE_FACTOR 4
+/*
+ * A start that is unanswered for this long, or for the mean answer time and a
+ * multiple of its deviation, is looked up in the worker's lists. Where many
+ * starts have no answer, answers may be slow: a probe would add load.
+ */
+#define MIN_ANSWER_LIMIT_MS 12
+#define ANSWER_DEVIATIONS 4
+#define UNANSWERED_BACKOFF 6 /* multiple of the limit if none has an answer */
 /*
  * Entry instances resubmit an earlier leader's jobs within this time, so that
  * one probe serves all of these jobs.
@@ -97,16 +101,21 @@
 	pool->ports->hold(pool->ports->ctx, &call);
 }
 
+/* Returns the time in ms after which a run has most likely ended. */
+static uint64_t expected_run_ms(const struct pool_run *run)
+{
+	if (!run->estimate_ms)
+		return MAX_WAIT_MS;
+	return (uint64_t)(run->estimate_ms * WAIT_FACTOR / run->worker->speed) +
+	       WAIT_SLACK_MS;
+}
+
 /* Returns the time in ms until the run is expected to end. */
 static uint64_t expected_end_in_ms(const struct pool_run *run, uint64_t now_ms)
 {
 	uint64_t ran_ms = run->answered_ms ? now_ms - run->answered_ms : 0;
-	uint64_t takes_ms = (uint64_t)(run->estimate_ms * WAIT_FACTOR /
-				       run->worker->speed) +
-			    WAIT_SLACK_MS;
+	uint64_t takes_ms = expected_run_ms(run);
 
-	if (!run->estimate_ms)
-		return MAX_WAIT_MS;
 	return takes_ms > ran_ms ? takes_ms - ran_ms : ran_ms / OVERDUE_DIVISOR;
 }
 
@@ -126,6 +135,33 @@
 	return worker->run_count || worker->ends_read > worker->ends_acked;
 }
 
+/*
+ * Returns true if a run should have ended that the pending hold was not sent
+ * for: it was sent for longer runs, and its answer may be lost.
+ */
+static bool is_end_overdue(const struct pool_worker *worker, uint64_t now_ms)
+{
+	const struct pool_run *run;
+
+	LIST_FOREACH(run, &worker->runs, in_worker) {
+		uint64_t due_ms = run->answered_ms + expected_run_ms(run);
+
+		if (run->state == POOL_ACTIVE && due_ms <= now_ms &&
+		    worker->hold_sent_ms < due_ms)
+			return true;
+	}
+	return false;
+}
+
+void pool_probe_overdue(struct lease_pool *pool, struct pool_worker *worker,
+			uint64_t now_ms)
+{
+	if (worker->hold_pending && worker->state == POOL_HELD &&
+	    !worker->failures && is_end_overdue(worker, now_ms))
+		pool_send_hold(pool, worker, next_wait_ms(worker, now_ms),
+			       now_ms);
+}
+
 void pool_send_due_hold(struct lease_pool *pool, struct pool_worker *worker,
 			uint64_t now_ms)
 {
@@ -393,17 +429,24 @@
 	pool_send_due_hold(pool, worker, now_ms);
 }
 
+double pool_answer_limit_ms(const struct lease_pool *pool)
+{
+	double limit_ms = pool->mean_answer_ms +
+			  pool->answer_deviation_ms * ANSWER_DEVIATIONS;
+
+	if (limit_ms < MIN_ANSWER_LIMIT_MS)
+		limit_ms = MIN_ANSWER_LIMIT_MS;
+	return limit_ms * (1 + pool->unanswered_share * UNANSWERED_BACKOFF);
+}
+
 void pool_probe_unanswered(struct lease_pool *pool, struct pool_worker *worker,
-			   uint64_t now_ms)
+			   double limit_ms, uint64_t now_ms)
 {
-	double limit_ms = pool->mean_answer_ms * UNANSWERED_PROBE_FACTOR;
 	struct pool_run *run;
 	uint32_t overdue = 0;
 
 	if (worker->state != POOL_HELD)
 		return;
-	if (limit_ms < UNANSWERED_PROBE_MS)
-		limit_ms = UNANSWERED_PROBE_MS;
 	LIST_FOREACH(run, &worker->runs, in_worker) {
 		if (run->state != POOL_STARTING ||
 		    (double)(now_ms - run->sent_ms) < limit_ms)
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -307,6 +307,25 @@
 	pool_close_run(pool, run, refusal_end(answer), now_ms);
 }
 
+static void note_answer_time(struct lease_pool *pool,
+			     const struct pool_run *run,
+			     enum pool_answer answer, uint64_t now_ms)
+{
+	double error_ms =
+		(double)(now_ms - run->sent_ms) - pool->mean_answer_ms;
+	bool unanswered = answer == POOL_NO_ANSWER;
+
+	pool->unanswered_share +=
+		MEAN_ANSWER_WEIGHT * (unanswered - pool->unanswered_share);
+	if (unanswered)
+		return;
+	pool->mean_answer_ms += MEAN_ANSWER_WEIGHT * error_ms;
+	if (error_ms < 0)
+		error_ms = -error_ms;
+	pool->answer_deviation_ms +=
+		MEAN_ANSWER_WEIGHT * (error_ms - pool->answer_deviation_ms);
+}
+
 void pool_start_answered(struct lease_pool *pool, uint64_t token,
 			 const struct pool_reply *reply, uint64_t now_ms)
 {
@@ -316,9 +335,7 @@
 	if (!run)
 		return;
 	worker = run->worker;
-	pool->mean_answer_ms +=
-		MEAN_ANSWER_WEIGHT *
-		((double)(now_ms - run->sent_ms) - pool->mean_answer_ms);
+	note_answer_time(pool, run, reply->answer, now_ms);
 	if (pool_apply_reply(pool, worker, reply, now_ms) == POOL_LIFE_OLDER) {
 		pool_close_run(pool, run, POOL_LAPSED, now_ms);
 		pool_send_due_hold(pool, worker, now_ms);
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -48,7 +48,10 @@
 	uint64_t fence; /* 0: this instance does not lead */
 	uint64_t probed_ms; /* when all workers were last probed */
 	uint64_t ticked_ms;
-	double mean_answer_ms; /* moving average over answers to starts */
+	/* Moving averages over starts; the first two over answered ones. */
+	double mean_answer_ms;
+	double answer_deviation_ms; /* mean absolute deviation */
+	double unanswered_share;
 	uint64_t list_read_ms; /* registrations known since; 0: not read */
 };
 
@@ -104,9 +107,19 @@
 void pool_hold_failed(struct pool_worker *worker, enum pool_answer answer,
 		      uint64_t now_ms);
 
-/* Probes a worker that has not answered a start for too long. */
+/* Sends another hold if an end should have been listed by now. */
+void pool_probe_overdue(struct lease_pool *pool, struct pool_worker *worker,
+			uint64_t now_ms);
+
+/*
+ * Returns the time in ms after which a start most likely is lost, by the
+ * answers to earlier starts.
+ */
+double pool_answer_limit_ms(const struct lease_pool *pool);
+
+/* Probes a worker that has not answered a start for longer than limit_ms. */
 void pool_probe_unanswered(struct lease_pool *pool, struct pool_worker *worker,
-			   uint64_t now_ms);
+			   double limit_ms, uint64_t now_ms);
 
 /* lease_pool_run.c */
 
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -284,6 +284,35 @@
 }
 END_TEST
 
+/*
+ * A short task starts on a worker whose pending hold was sent for a longer one.
+ * If its end is not listed when it is due, another hold is sent.
+ */
+START_TEST(test_overdue_end_is_looked_up)
+{
+	struct lease_submission longer = fake_orders_submission(ID, 1);
+	struct lease_submission job =
+		fake_orders_submission("00000000000000a2", 1);
+	struct job_step step = longer.steps[0];
+	size_t holds;
+
+	step.estimate_ms = 2000;
+	longer.steps = &step;
+	job.waiter.request++;
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &longer);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[1], POOL_OK);
+	holds = fake->hold_count;
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->hold_count, holds);
+	fake_orders_advance(fake, 60);
+	ck_assert_uint_eq(fake->hold_count, holds + 1);
+}
+END_TEST
+
 /* After an unanswered start, a task waits until that run is closed. */
 START_TEST(test_unanswered_start)
 {
@@ -792,7 +821,7 @@
 		"lease_dispatch", set_up, tear_down, test_serves,
 		test_adopts_a_run_found_later, test_adopts_an_end_found_later,
 		test_stops_a_second_run, test_unanswered_start,
-		test_lower_priority_begins_whole,
+		test_overdue_end_is_looked_up, test_lower_priority_begins_whole,
 		test_first_priority_begins_in_part,
 		test_refuses_what_ends_too_late,
 		test_resent_job_waits_for_its_stopped_run,
--- a/packages/core/tests/test_lease_load.c
+++ b/packages/core/tests/test_lease_load.c
@@ -147,8 +147,9 @@
 END_TEST
 
 /*
- * At the usual load one call in twenty, holds included, is never answered. The
- * bound is the users' target for days with faults.
+ * At the usual load one call in twenty, holds included, is never answered: a
+ * job of eight tasks loses a call more often than not. The bound is the users'
+ * target for days with faults on the large site.
  */
 START_TEST(test_unanswered_orders)
 {
@@ -159,7 +160,7 @@
 	fake_load_run(&options, &r);
 	print_result("unanswered", &r);
 	check_promises(&r);
-	ck_assert(r.worth >= 0.70);
+	ck_assert(r.worth >= 0.89);
 }
 END_TEST
 
