core: a new configuration is not sent by each instance to all others

All 147 instances read a new version from the store at about the same time, and each compressed it and sent it to the 146 others, 4.4 MB on links of 20 Mbit/s; a member that was behind got it again for each of its beats. Change: a member whose beats show an older version 0.3 s after ours was read, and after its link came up, gets it once a second, from the leader first, from others spread over 2 s. The document is compressed once.

--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -58,6 +58,8 @@
 	bool stopping;
 	bool overloaded; /* gave up its claim because it was overloaded */
 	uint64_t config_version;
+	uint64_t offered_version; /* of the configuration last sent to it */
+	uint64_t offered_ms;
 	uint64_t beat_due_ms;
 	uint64_t listed_ms; /* when it was last told of links; 0: never */
 };
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -187,7 +187,6 @@
 	struct queue_config *read = lease_node->ports->parse_config(
 		lease_node->ports->ctx, lease_node, text, len);
 
-	(void)now_ms;
 	if (!read)
 		return; /* the port has logged why */
 	if (lease_node->config &&
@@ -204,7 +203,8 @@
 	counter_add(COUNTER_CONFIG_CHANGES, 1);
 	talloc_free(lease_node->config);
 	lease_node->config = read;
-	lease_node_offer_config(lease_node, 0);
+	lease_node->config_packed = NULL;
+	lease_node->config_read_ms = now_ms;
 }
 
 /* Workers */
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -9,6 +9,10 @@
 
 #define MAX_CONFIG_BYTES (4u << 20) /* of a document as text */
 #define MAX_BACKLOGS 256
+/* Members that reach the store have read a new configuration by then. */
+#define OFFER_WAIT_MS 300
+#define OFFER_SPREAD_MS 2000
+#define OFFER_RETRY_MS 1000 /* it may be on its way over a slow link */
 
 static void send_to(struct lease_node *lease_node, uint64_t to,
 		    const Bergamot__Peer *msg)
@@ -133,10 +137,58 @@
 	talloc_free(rows.mem);
 }
 
+static void send_config(struct lease_node *lease_node,
+			struct leader_member *member, uint64_t now_ms)
+{
+	const struct queue_config *config = lease_node->config;
+	Bergamot__ConfigOffer offer = BERGAMOT__CONFIG_OFFER__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	if (!lease_node->config_packed)
+		lease_node->config_packed = deflate_pack(
+			lease_node->config, config->text, config->text_len);
+	offer.version = config->version;
+	offer.deflated.data = lease_node->config_packed;
+	offer.deflated.len = talloc_get_size(lease_node->config_packed);
+	offer.text_len = (uint32_t)config->text_len;
+	peer.body_case = BERGAMOT__PEER__BODY_CONFIG_OFFER;
+	peer.config_offer = &offer;
+	member->offered_version = config->version;
+	member->offered_ms = now_ms;
+	log_info(LOG_CONFIG,
+		 "configuration %" PRIu64 " sent to member %s, which has "
+		 "%" PRIu64,
+		 config->version, member->instance, member->config_version);
+	send_to(lease_node, member->incarnation, &peer);
+}
+
+/*
+ * Sends the configuration to a member whose beat has an older version. Members
+ * read it from the store by themselves, at about the same time; only one that
+ * cannot is to get it here. The leader, which receives the most beats, goes
+ * before the others, and these follow one after the other.
+ */
+static void offer_config(struct lease_node *lease_node,
+			 struct leader_member *member, uint64_t now_ms)
+{
+	uint64_t wait_ms = OFFER_WAIT_MS;
+
+	if (!lease_node->claim)
+		wait_ms += lease_node->options.incarnation % OFFER_SPREAD_MS;
+	if (!lease_node->config ||
+	    member->config_version >= lease_node->config->version ||
+	    now_ms - lease_node->config_read_ms < wait_ms ||
+	    now_ms - member->link_changed_ms < wait_ms ||
+	    (member->offered_version == lease_node->config->version &&
+	     now_ms - member->offered_ms < OFFER_RETRY_MS))
+		return;
+	send_config(lease_node, member, now_ms);
+}
+
 static void on_beat(struct lease_node *lease_node, uint64_t from,
 		    const Bergamot__LeaderBeat *beat, uint64_t now_ms)
 {
-	uint64_t version = lease_node->config ? lease_node->config->version : 0;
+	struct leader_member *member = leader_find(lease_node->members, from);
 
 	leader_receive_beat(lease_node->members, from, beat, now_ms);
 	for (size_t i = 0; i < beat->n_addresses; i++)
@@ -147,35 +199,12 @@
 			set_backlog(lease_node, beat->waiting[i]->queue,
 				    beat->waiting[i]->waiting);
 	}
-	if (beat->config_version < version)
-		lease_node_offer_config(lease_node, from);
+	if (member)
+		offer_config(lease_node, member, now_ms);
 }
 
 /* Configuration */
 
-void lease_node_offer_config(struct lease_node *lease_node,
-			     uint64_t incarnation)
-{
-	Bergamot__ConfigOffer offer = BERGAMOT__CONFIG_OFFER__INIT;
-	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
-	struct leader_member *m;
-	uint8_t *packed;
-
-	packed = deflate_pack(lease_node, lease_node->config->text,
-			      lease_node->config->text_len);
-	offer.version = lease_node->config->version;
-	offer.deflated.data = packed;
-	offer.deflated.len = talloc_get_size(packed);
-	offer.text_len = (uint32_t)lease_node->config->text_len;
-	peer.body_case = BERGAMOT__PEER__BODY_CONFIG_OFFER;
-	peer.config_offer = &offer;
-	for (m = leader_members(lease_node->members); m; m = m->hh.next)
-		if (m->linked &&
-		    (!incarnation || m->incarnation == incarnation))
-			send_to(lease_node, m->incarnation, &peer);
-	talloc_free(packed);
-}
-
 static void on_config(struct lease_node *lease_node,
 		      const Bergamot__ConfigOffer *offer, uint64_t now_ms)
 {
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -49,6 +49,8 @@
 	struct lease_node_options options;
 	const struct lease_node_ports *ports;
 	struct queue_config *config; /* NULL until one was read */
+	uint64_t config_read_ms;
+	uint8_t *config_packed; /* compressed, owned by config; NULL: not yet */
 	struct leadership *members;
 	struct lease_dispatch *dispatch;
 	struct lease_relay *relay;
@@ -95,10 +97,6 @@
 
 void lease_node_send_beats(struct lease_node *lease_node, uint64_t now_ms);
 
-/* Sends the configuration in force to one member, or to all if 0. */
-void lease_node_offer_config(struct lease_node *lease_node,
-			     uint64_t incarnation);
-
 void lease_node_send_job(struct lease_node *lease_node,
 			 const struct lease_node_job *job, uint64_t to,
 			 uint64_t now_ms);
--- /dev/null
+++ b/packages/core/tests/test_lease_node_peer.c
@@ -0,0 +1,158 @@
+/*
+ * The configuration between instances: at 147 instances, all of which read a
+ * new version at about the same time, each sending it to all others filled
+ * their links for seconds.
+ */
+#include <string.h>
+
+#include "base/tests/run_suite.h"
+#include "core/lease_node.h"
+
+#define MEMBERS 3
+#define OWN_INCARNATION 4000 /* no wait beyond the shortest */
+
+static struct lease_node *node;
+static struct lease_node_ports ports;
+static uint32_t offers[MEMBERS + 1]; /* by the receiver's incarnation */
+static uint64_t now_ms;
+
+static void port_send(void *ctx, uint64_t incarnation,
+		      const Bergamot__Peer *msg)
+{
+	(void)ctx;
+	if (msg->body_case == BERGAMOT__PEER__BODY_CONFIG_OFFER)
+		offers[incarnation]++;
+}
+
+static struct queue_config *port_parse(void *ctx, TALLOC_CTX *mem,
+				       const char *text, size_t len)
+{
+	struct queue_config *config = talloc_zero(mem, struct queue_config);
+
+	(void)ctx;
+	config->version = strtoull(text, NULL, 10);
+	config->text = talloc_strndup(config, text, len);
+	config->text_len = len;
+	return config;
+}
+
+static uint64_t port_wall_ms(void *ctx)
+{
+	(void)ctx;
+	return UINT64_C(1790000000000);
+}
+
+static void port_none(void *ctx)
+{
+	(void)ctx;
+}
+
+static void port_dial(void *ctx, const char *address)
+{
+	(void)ctx;
+	(void)address;
+}
+
+static void receive_beat(uint64_t from, uint64_t config_version)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	beat.config_version = config_version;
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	lease_node_peer_message(node, from, &peer, now_ms);
+}
+
+static void set_up(void)
+{
+	struct lease_node_options options = {
+		.ports = &ports,
+		.instance = "own",
+		.data_centre = "d",
+		.address = "own",
+		.incarnation = OWN_INCARNATION,
+		.order = lease_find_order("late_last"),
+		.place = place_find("fastest"),
+		.weight = 250,
+		.now_ms = 1000,
+	};
+
+	now_ms = 1000;
+	memset(offers, 0, sizeof(offers));
+	ports = (struct lease_node_ports){
+		.send = port_send,
+		.dial = port_dial,
+		.parse_config = port_parse,
+		.wall_ms = port_wall_ms,
+		.wake = port_none,
+	};
+	node = lease_node_create(NULL, &options);
+	lease_node_config_read(node, "1", 1, now_ms);
+	for (uint64_t i = 1; i <= MEMBERS; i++) {
+		char name[2] = { (char)('a' + i), 0 };
+		Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
+
+		hello.incarnation = i;
+		hello.instance = hello.address = name;
+		lease_node_peer_up(node, &hello, now_ms);
+	}
+	now_ms += 5000;
+}
+
+static void tear_down(void)
+{
+	talloc_free(node);
+}
+
+START_TEST(test_new_version_is_not_broadcast)
+{
+	lease_node_config_read(node, "2", 1, now_ms);
+	receive_beat(1, 1);
+	for (uint64_t i = 1; i <= MEMBERS; i++)
+		ck_assert_uint_eq(offers[i], 0);
+}
+END_TEST
+
+/* A member that is cut off from the store gets it once, not for each beat. */
+START_TEST(test_member_that_stays_behind_gets_it)
+{
+	lease_node_config_read(node, "2", 1, now_ms);
+	now_ms += 400;
+	receive_beat(1, 1);
+	receive_beat(2, 2);
+	ck_assert_uint_eq(offers[1], 1);
+	ck_assert_uint_eq(offers[2], 0);
+	now_ms += 120;
+	receive_beat(1, 1);
+	ck_assert_uint_eq(offers[1], 1);
+	now_ms += 1000;
+	receive_beat(1, 1);
+	ck_assert_uint_eq(offers[1], 2);
+}
+END_TEST
+
+/* An instance that has just started reads the store before it gets offers. */
+START_TEST(test_new_member_is_given_time)
+{
+	Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
+
+	lease_node_peer_down(node, 3, now_ms);
+	hello.incarnation = 3;
+	hello.instance = hello.address = (char *)"d";
+	lease_node_peer_up(node, &hello, now_ms);
+	receive_beat(3, 0);
+	ck_assert_uint_eq(offers[3], 0);
+	now_ms += 400;
+	receive_beat(3, 0);
+	ck_assert_uint_eq(offers[3], 1);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("lease_node_peer", set_up, tear_down,
+			test_new_version_is_not_broadcast,
+			test_member_that_stays_behind_gets_it,
+			test_new_member_is_given_time);
+}
