core: a relay that answers nothing is left after tens of ms

Until then a fifth of all starts go to relays of the data centre that is cut off and stay open until their leases lapse; of the jobs of eight tasks most have one of them. Change: a relay that has answered nothing since three or more calls that workers answer at once, for twice the limit of a start and at least 40 ms, is silent: its calls count as not answered, its workers are called through others and get no tasks until they have answered there. If most relays are silent, none is taken for it.

--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -444,8 +444,8 @@
 				     msg->worker_orders);
 		break;
 	case BERGAMOT__PEER__BODY_WORKER_ANSWERS:
-		relay_receive_answers(lease_node->relay, msg->worker_answers,
-				      now_ms);
+		relay_receive_answers(lease_node->relay, from,
+				      msg->worker_answers, now_ms);
 		lease_node_schedule_run(lease_node);
 		break;
 	default:
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -337,6 +337,16 @@
 void pool_offer_found(struct lease_pool *pool, const char *job,
 		      uint64_t now_ms);
 
+/*
+ * Returns the time in ms after which a start most likely is lost, by the
+ * answers to earlier starts.
+ */
+double pool_answer_limit_ms(const struct lease_pool *pool);
+
+/* Starts no tasks on a worker until it has answered another hold. */
+void pool_doubt_worker(struct lease_pool *pool, const char *id,
+		       uint64_t now_ms);
+
 /* Apply a worker's answer to a call; an outdated answer is ignored. */
 void pool_start_answered(struct lease_pool *pool, uint64_t token,
 			 const struct pool_reply *reply, uint64_t now_ms);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -382,6 +382,17 @@
 	counter_add(COUNTER_WORKER_HOLD_FAILURES, 1);
 }
 
+void pool_doubt_worker(struct lease_pool *pool, const char *id, uint64_t now_ms)
+{
+	struct pool_worker *worker = pool_find_worker(pool, id);
+
+	if (!worker || worker->state != POOL_HELD ||
+	    worker->failures >= POOL_LOST_HOLDS)
+		return;
+	worker->failures = POOL_LOST_HOLDS;
+	worker->retry_ms = now_ms;
+}
+
 static void hold_succeeded(struct lease_pool *pool, struct pool_worker *worker,
 			   const struct pool_lists *lists, uint64_t now_ms)
 {
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -111,12 +111,6 @@
 void pool_probe_overdue(struct lease_pool *pool, struct pool_worker *worker,
 			uint64_t now_ms);
 
-/*
- * Returns the time in ms after which a start most likely is lost, by the
- * answers to earlier starts.
- */
-double pool_answer_limit_ms(const struct lease_pool *pool);
-
 /* Probes a worker that has not answered a start for longer than limit_ms. */
 void pool_probe_unanswered(struct lease_pool *pool, struct pool_worker *worker,
 			   double limit_ms, uint64_t now_ms);
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -21,6 +21,16 @@
 /* Calls in a row without an answer after which another relay is used. */
 #define MAX_RELAY_FAILURES 2
 #define DEFAULT_DIRECT_WORKERS 64
+/*
+ * A relay is silent if it has answered nothing since it was sent this many
+ * calls that workers answer at once, and for this multiple of the time after
+ * which a start counts as lost.
+ */
+#define SILENT_CALLS 3
+#define SILENT_FACTOR 2
+#define MIN_SILENCE_MS 40
+#define SILENT_RETRY_MS 3000 /* it is tried again after this time */
+#define LATE_TICK_MS 40 /* after a longer gap, answers may not be read yet */
 /*
  * A worker whose route is unused for this long is no longer registered:
  * registered workers are called at least every 5 s.
@@ -51,7 +61,19 @@
 	struct call_key key;
 	struct route *route;
 	uint64_t relay;
+	uint64_t sent_ms;
 	uint64_t due_ms;
+	bool prompt; /* the worker answers it at once */
+};
+
+struct relay_health {
+	UT_hash_handle hh;
+	uint64_t relay;
+	uint64_t answered_ms; /* its last answer */
+	uint64_t silent_until_ms; /* 0: not silent */
+	/* Prompt calls since its last answer; counted in each tick. */
+	uint32_t unanswered;
+	uint64_t oldest_ms;
 };
 
 /* A call that this instance makes for another one. */
@@ -83,11 +105,44 @@
 	uint64_t now_ms; /* as of the last call that passed the time */
 	struct route *routes;
 	struct pending *pending;
+	struct relay_health *health; /* of relays with calls */
+	uint64_t ticked_ms;
 	struct relayed_call *relayed_calls;
 	struct batch *batches;
 	uint64_t next_number;
 };
 
+/* Silent relays */
+
+static struct relay_health *find_health(const struct lease_relay *lease_relay,
+					uint64_t relay)
+{
+	struct relay_health *health;
+
+	HASH_FIND(hh, lease_relay->health, &relay, sizeof(relay), health);
+	return health;
+}
+
+static struct relay_health *get_health(struct lease_relay *lease_relay,
+				       uint64_t relay)
+{
+	struct relay_health *health = find_health(lease_relay, relay);
+
+	if (health)
+		return health;
+	health = talloc_zero(lease_relay, struct relay_health);
+	health->relay = relay;
+	HASH_ADD(hh, lease_relay->health, relay, sizeof(health->relay), health);
+	return health;
+}
+
+static bool is_silent(const struct lease_relay *lease_relay, uint64_t relay)
+{
+	const struct relay_health *health = find_health(lease_relay, relay);
+
+	return health && health->silent_until_ms > lease_relay->now_ms;
+}
+
 /* Choice */
 
 static size_t count_workers(const struct lease_relay *lease_relay)
@@ -114,6 +169,7 @@
 	for (m = leader_members(lease_relay->options.members); m;
 	     m = m->hh.next) {
 		if (m->stopping || !m->share || count == RELAY_CHOICE_MAX ||
+		    is_silent(lease_relay, m->incarnation) ||
 		    !leader_is_live(lease_relay->options.members, m,
 				    lease_relay->now_ms) ||
 		    m->share * 100 < largest * MIN_SHARE_PERCENT)
@@ -274,6 +330,16 @@
 
 /* The leader's side */
 
+static struct pending *find_pending(struct lease_relay *lease_relay,
+				    Bergamot__WorkerCall call, uint64_t number)
+{
+	struct call_key key = { .number = number, .call = call };
+	struct pending *p;
+
+	HASH_FIND(hh, lease_relay->pending, &key, sizeof(key), p);
+	return p;
+}
+
 static void add_pending(struct lease_relay *lease_relay, struct route *route,
 			uint64_t number, Bergamot__WorkerCall call,
 			uint32_t timeout_ms)
@@ -284,6 +350,8 @@
 	p->key.call = call;
 	p->route = route;
 	p->relay = route->relay;
+	p->prompt = true;
+	p->sent_ms = lease_relay->now_ms;
 	p->due_ms = lease_relay->now_ms + timeout_ms + ANSWER_SLACK_MS;
 	route->pending++;
 	route->last_used_ms = lease_relay->now_ms;
@@ -329,6 +397,10 @@
 	order->deadline_ms = call->deadline_ms;
 	order->ends_read = call->ends_read;
 	order->wait_ms = call->wait_ms;
+	if (call->wait_ms)
+		find_pending(lease_relay, BERGAMOT__WORKER_CALL__HOLD,
+			     call->serial)
+			->prompt = false;
 }
 
 static void port_start(void *ctx, const struct pool_start_call *call)
@@ -412,11 +484,9 @@
 static struct pending *remove_pending(struct lease_relay *lease_relay,
 				      const Bergamot__WorkerAnswer *answer)
 {
-	struct call_key key = { .number = answer->number,
-				.call = answer->call };
-	struct pending *p;
+	struct pending *p =
+		find_pending(lease_relay, answer->call, answer->number);
 
-	HASH_FIND(hh, lease_relay->pending, &key, sizeof(key), p);
 	if (p)
 		HASH_DEL(lease_relay->pending, p);
 	return p;
@@ -469,10 +539,19 @@
 	talloc_free(p);
 }
 
-void relay_receive_answers(struct lease_relay *lease_relay,
+void relay_receive_answers(struct lease_relay *lease_relay, uint64_t from,
 			   const Bergamot__WorkerAnswers *msg, uint64_t now_ms)
 {
+	struct relay_health *health = find_health(lease_relay, from);
+
 	lease_relay->now_ms = now_ms;
+	if (health) {
+		if (health->silent_until_ms)
+			log_info(LOG_TARGET,
+				 "relay %016" PRIx64 " answers again", from);
+		health->answered_ms = now_ms;
+		health->silent_until_ms = 0;
+	}
 	for (size_t i = 0; i < msg->n_answers; i++)
 		receive_answer(lease_relay, msg->answers[i]);
 }
@@ -507,10 +586,101 @@
 	}
 }
 
+/* Counts the prompt calls of each relay since its last answer. */
+static void count_unanswered(struct lease_relay *lease_relay)
+{
+	struct relay_health *health;
+	struct pending *p;
+
+	for (health = lease_relay->health; health; health = health->hh.next)
+		health->unanswered = 0;
+	for (p = lease_relay->pending; p; p = p->hh.next) {
+		if (!p->prompt)
+			continue;
+		health = get_health(lease_relay, p->relay);
+		if (p->sent_ms < health->answered_ms)
+			continue;
+		if (!health->unanswered++ || p->sent_ms < health->oldest_ms)
+			health->oldest_ms = p->sent_ms;
+	}
+}
+
+static bool has_become_silent(const struct lease_relay *lease_relay,
+			      const struct relay_health *health)
+{
+	double limit_ms =
+		pool_answer_limit_ms(lease_relay->pool) * SILENT_FACTOR;
+
+	if (limit_ms < MIN_SILENCE_MS)
+		limit_ms = MIN_SILENCE_MS;
+	return !health->silent_until_ms && health->unanswered >= SILENT_CALLS &&
+	       (double)(lease_relay->now_ms - health->oldest_ms) >= limit_ms;
+}
+
+/*
+ * Calls the workers of a silent relay through others at once. They get no tasks
+ * until they have answered there: the relay's whole data centre may be cut off.
+ */
+static void leave_silent(struct lease_relay *lease_relay,
+			 struct relay_health *health)
+{
+	uint64_t relay = health->relay;
+	struct route *route;
+
+	log_warning(LOG_TARGET,
+		    "relay %016" PRIx64
+		    " has not answered %u calls for %" PRIu64
+		    " ms; its workers are called through others",
+		    relay, health->unanswered,
+		    lease_relay->now_ms - health->oldest_ms);
+	for (route = lease_relay->routes; route; route = route->hh.next)
+		if (route->relay == relay)
+			pool_doubt_worker(lease_relay->pool, route->worker,
+					  lease_relay->now_ms);
+	end_calls(lease_relay, relay);
+}
+
+static void expire_silence(struct lease_relay *lease_relay)
+{
+	struct relay_health *health;
+
+	for (health = lease_relay->health; health; health = health->hh.next)
+		if (health->silent_until_ms <= lease_relay->now_ms)
+			health->silent_until_ms = 0;
+}
+
+static void check_silence(struct lease_relay *lease_relay)
+{
+	uint64_t until_ms = lease_relay->now_ms + SILENT_RETRY_MS;
+	struct relay_health *health;
+	size_t silent = 0;
+
+	expire_silence(lease_relay);
+	count_unanswered(lease_relay);
+	for (health = lease_relay->health; health; health = health->hh.next)
+		silent += has_become_silent(lease_relay, health);
+	/* If most are silent, this instance or its link is at fault. */
+	if (!silent || silent * 2 > lease_relay->candidate_count)
+		return;
+	for (health = lease_relay->health; health; health = health->hh.next)
+		if (has_become_silent(lease_relay, health))
+			health->silent_until_ms = until_ms;
+	update_candidates(lease_relay);
+	for (health = lease_relay->health; health; health = health->hh.next)
+		if (health->silent_until_ms == until_ms)
+			leave_silent(lease_relay, health);
+}
+
 void relay_member_lost(struct lease_relay *lease_relay, uint64_t incarnation,
 		       uint64_t now_ms)
 {
+	struct relay_health *health = find_health(lease_relay, incarnation);
+
 	lease_relay->now_ms = now_ms;
+	if (health) {
+		HASH_DEL(lease_relay->health, health);
+		talloc_free(health);
+	}
 	update_candidates(lease_relay);
 	end_calls(lease_relay, incarnation);
 }
@@ -538,6 +708,9 @@
 		update_candidates(lease_relay);
 	if (lease_relay->expiry_due_ms <= now_ms)
 		expire_routes(lease_relay);
+	if (now_ms - lease_relay->ticked_ms <= LATE_TICK_MS)
+		check_silence(lease_relay);
+	lease_relay->ticked_ms = now_ms;
 	end_calls(lease_relay, 0);
 }
 
@@ -716,6 +889,7 @@
 {
 	HASH_CLEAR(hh, lease_relay->routes);
 	HASH_CLEAR(hh, lease_relay->pending);
+	HASH_CLEAR(hh, lease_relay->health);
 	HASH_CLEAR(hh, lease_relay->relayed_calls);
 	HASH_CLEAR(hh, lease_relay->batches);
 	return 0;
--- a/packages/core/lease_relay.h
+++ b/packages/core/lease_relay.h
@@ -16,6 +16,10 @@
  * called by one relay at a time, chosen by rendezvous hashing weighted by
  * processor share, in the worker's data centre if possible.
  *
+ * A relay that answers nothing for some tens of ms is silent: its workers are
+ * called through others, and get no tasks until they have answered there. A
+ * link that is cut shows only by that for as long as its beats are valid.
+ *
  * If a relay does not answer in time, or its link is lost, the call counts as
  * not answered by the worker: it may still be carried out, even later. Fencing
  * tokens, deadlines on the worker's clock and run numbers make that safe, as
@@ -64,7 +68,7 @@
 /* Handle messages of other instances. */
 void relay_receive_orders(struct lease_relay *lease_relay, uint64_t from,
 			  const Bergamot__WorkerOrders *msg);
-void relay_receive_answers(struct lease_relay *lease_relay,
+void relay_receive_answers(struct lease_relay *lease_relay, uint64_t from,
 			   const Bergamot__WorkerAnswers *msg, uint64_t now_ms);
 
 /* The link to a member is down: calls sent to it count as not answered. */
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -10,7 +10,7 @@
 #include "core/lease_relay.h"
 
 #define LEADER 1
-#define MAX_CALLS 64
+#define MAX_ORDERS 256
 
 /* One instance; the tests deliver its messages explicitly. */
 struct instance {
@@ -24,6 +24,10 @@
 	uint64_t serial;
 	uint32_t calls;
 	bool woken;
+	/* Holds sent to relay 2 and not answered, and orders sent to 3. */
+	uint64_t holds[MAX_ORDERS];
+	size_t hold_count;
+	uint32_t orders_to_3;
 };
 
 static TALLOC_CTX *mem;
@@ -33,16 +37,26 @@
 static struct instance relay;
 static uint64_t now_ms;
 
+static void record_orders(struct instance *instance, uint64_t to,
+			  const Bergamot__WorkerOrders *orders)
+{
+	for (size_t i = 0; i < orders->n_orders; i++) {
+		if (!strcmp(orders->orders[i]->worker, "w1"))
+			instance->w1_relay = to;
+		if (to == 2 && instance->hold_count < MAX_ORDERS)
+			instance->holds[instance->hold_count++] =
+				orders->orders[i]->number;
+		instance->orders_to_3 += to == 3;
+	}
+}
+
 static void record_send(void *ctx, uint64_t to, const Bergamot__Peer *msg)
 {
 	struct instance *instance = ctx;
 
 	instance->sent_to = to;
 	if (msg->body_case == BERGAMOT__PEER__BODY_WORKER_ORDERS)
-		for (size_t i = 0; i < msg->worker_orders->n_orders; i++)
-			if (!strcmp(msg->worker_orders->orders[i]->worker,
-				    "w1"))
-				instance->w1_relay = to;
+		record_orders(instance, to, msg->worker_orders);
 	instance->sent_len = bergamot__peer__get_packed_size(msg);
 	ck_assert_uint_le(instance->sent_len, sizeof(instance->sent));
 	bergamot__peer__pack(msg, instance->sent);
@@ -229,7 +243,8 @@
 	relay_flush(relay.lease_relay);
 	ck_assert_uint_eq(relay.sent_to, LEADER);
 	msg = unpack_sent(&relay);
-	relay_receive_answers(leader.lease_relay, msg->worker_answers, now_ms);
+	relay_receive_answers(leader.lease_relay, 2, msg->worker_answers,
+			      now_ms);
 	bergamot__peer__free_unpacked(msg, NULL);
 }
 
@@ -348,6 +363,71 @@
 }
 END_TEST
 
+/* Answers all holds that were sent to relay 2. */
+static void answer_holds(void)
+{
+	for (size_t i = 0; i < leader.hold_count; i++) {
+		Bergamot__WorkerAnswers msg = BERGAMOT__WORKER_ANSWERS__INIT;
+		Bergamot__WorkerAnswer answer = BERGAMOT__WORKER_ANSWER__INIT;
+		Bergamot__WorkerAnswer *row = &answer;
+
+		answer.call = BERGAMOT__WORKER_CALL__HOLD;
+		answer.number = leader.holds[i];
+		answer.answer = POOL_OK;
+		answer.clock_ms = 500;
+		answer.born_ms = 1;
+		msg.answers = &row;
+		msg.n_answers = 1;
+		relay_receive_answers(leader.lease_relay, 2, &msg, now_ms);
+	}
+	leader.hold_count = 0;
+}
+
+static uint64_t count_usable(void)
+{
+	const struct pool_worker *worker;
+	uint64_t count = 0;
+
+	TAILQ_FOREACH(worker, pool_workers(pool), entry)
+		count += pool_is_usable(worker, now_ms);
+	return count;
+}
+
+/*
+ * A data centre is cut off without closing its links. Long before beats lose
+ * their validity, its workers are called through another relay, and no tasks
+ * start on them until they have answered there.
+ */
+START_TEST(test_silent_relay)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	uint32_t orders = 0;
+	char id[16];
+
+	beat.weight = beat.share = 500;
+	add_member(3, 500);
+	for (int i = 3; i <= 24; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		add_worker(id);
+	}
+	advance(110);
+	leader_receive_beat(members, 3, &beat, now_ms);
+	pool_lead(pool, 5, now_ms);
+	/* Relay 2 answers for its workers, relay 3 for none. */
+	for (int round = 0; round < 12; round++) {
+		relay_flush(leader.lease_relay);
+		answer_holds();
+		if (!round)
+			orders = leader.orders_to_3;
+		leader_receive_beat(members, 3, &beat, now_ms);
+		advance(10);
+	}
+	ck_assert_uint_gt(orders, 3);
+	ck_assert_uint_eq(leader.orders_to_3, orders);
+	ck_assert_uint_eq(count_usable(), 24);
+}
+END_TEST
+
 /*
  * Routes to removed workers are freed, so that memory does not grow without
  * limit.
@@ -385,5 +465,5 @@
 			test_few_workers_are_called_directly,
 			test_small_shares_are_spared, test_lost_relay,
 			test_overdue, test_turns_to_another_relay,
-			test_routes_of_removed_workers);
+			test_silent_relay, test_routes_of_removed_workers);
 }
