--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,7 @@
 class Attempt:
     def __init__(self, instance):
         self.instance = instance
+        self.idle_s = 0.0  # of its connection, before the request
         self.incarnation = instance.incarnation
         self.begin = time.monotonic()
         self.end = None
@@ -51,6 +52,7 @@
         self.pause_s = pause_s
         self.jobs = []
         self.connections = {}
+        self.used_at = {}  # end of the last request, by connection
         self.stop = threading.Event()
 
     def connect(self, instance):
@@ -70,6 +72,7 @@
             "steps": [{"count": job.tasks, "cpu": 4000, "mem_mb": 64,
                        "estimate_ms": 150}]})
         key, connection = self.connect(instance)
+        attempt.idle_s = attempt.begin - self.used_at.get(key, attempt.begin)
         try:
             connection.request("POST", f"/q/{job.name}", body, {
                 "Host": HOST, "X-Bergamotpass-Deadline-Ms":
@@ -85,6 +88,7 @@
             connection.close()
             self.connections.pop(key)
         attempt.end = time.monotonic()
+        self.used_at[key] = attempt.end
         return attempt
 
     def run(self):
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -5,6 +5,7 @@
 from tests.soak.callers import DEADLINE_S, LATE_S
 from tests.soak.site import GRACE_S
 
+IDLE_S = 15.0  # idle limit of connections in the site's configuration
 # A start counts as a repeat only this long after the end was acknowledged.
 ACKNOWLEDGED_S = 1.0
 # Before a process listens, it has no SIGTERM handler and no work to finish.
@@ -92,6 +93,8 @@
     if attempt.status is not None and \
             end - attempt.begin > DEADLINE_S + LATE_S:
         yield f"late: {job.name} after {end - attempt.begin:.1f} s"
+    if attempt.reason == "BrokenPipeError" and attempt.idle_s >= IDLE_S:
+        return  # closed at the idle limit, before the request was sent
     if attempt.status is None and attempt.reason != "TimeoutError" and \
             attempt.incarnation == instance.incarnation and \
             instance.sigterm_at is None:
