core: every pair of instances is linked; a cut-off data centre elects sooner

An instance dialled at most 128 addresses, so that 7% of the pairs were not linked at 176 instances; one without a link to the leader serves nobody, and a candidate without one claims to lead in turn with it. In the data centre that is cut off, candidates waited 0.5 s for each better one of the others, whose last beats are valid for 4 s. Change: 4,096 addresses and links; a candidate without a leader says so, is answered at once, and after 0.3 s does not wait for those that are silent.

--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -18,7 +18,7 @@
 #define MIN_RETRY_MS 50
 #define MAX_RETRY_MS 1000
 #define DEFAULT_QUEUE_BYTES (64u << 20)
-#define MAX_LINKS 1024
+#define MAX_LINKS 4096
 #define DEFAULT_SILENCE_MS 5000
 
 /*
--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -23,6 +23,12 @@
 #define CANDIDATE_WAIT_MS 200
 #define CLAIM_WAIT_MS LEADER_BEAT_MS /* a leader's beat may be on its way */
 #define RANK_WAIT_MS 500 /* for each better candidate */
+/*
+ * Better candidates that have sent nothing for this long since the leader was
+ * lost, though they were asked for a beat, are not waited for: a data centre
+ * that is cut off elects its own leader.
+ */
+#define ELECTION_MS 300
 /*
  * Low bits of a claim, which with the milliseconds since 1970 stays below 2^53.
  */
@@ -134,6 +140,9 @@
 {
 	if (member->claim || leadership->claim)
 		return LEADER_BEAT_MS;
+	if (member->weight && leadership->candidate_ms &&
+	    leadership->leaderless_ms)
+		return LEADER_BEAT_MS;
 	if (member->weight || leadership->candidate_ms)
 		return FOLLOWER_BEAT_MS;
 	return IDLE_BEAT_MS;
@@ -255,6 +264,9 @@
 		leadership->resigned = true;
 	if (!member->weight && beat->weight)
 		member->beat_due_ms = 0; /* the beat period becomes shorter */
+	if (beat->leaderless && leadership->candidate_ms &&
+	    !leadership->leaderless_ms)
+		member->beat_due_ms = 0;
 	member->last_beat_ms = now_ms;
 	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
@@ -292,6 +304,8 @@
 	beat->clock_ms = now_ms;
 	beat->echo_ms = member->clock_ms;
 	beat->stopping = leadership->stopping;
+	beat->leaderless =
+		leadership->candidate_ms && leadership->leaderless_ms;
 }
 
 bool leader_beat_due(struct leadership *leadership,
@@ -390,6 +404,14 @@
 		m->incarnation < leadership->options.incarnation);
 }
 
+static bool is_unreachable(const struct leadership *leadership,
+			   const struct leader_member *m, uint64_t now_ms)
+{
+	return leadership->leaderless_ms &&
+	       now_ms - leadership->leaderless_ms >= ELECTION_MS &&
+	       m->last_beat_ms < leadership->leaderless_ms;
+}
+
 /* Counts the live candidates that claim before this instance does. */
 static uint32_t count_better_candidates(struct leadership *leadership,
 					uint64_t now_ms)
@@ -400,7 +422,8 @@
 
 	for (m = leadership->members; m; m = m->hh.next) {
 		if (!m->weight || m->stopping ||
-		    !leader_is_live(leadership, m, now_ms))
+		    !leader_is_live(leadership, m, now_ms) ||
+		    is_unreachable(leadership, m, now_ms))
 			continue;
 		rank += ranks_before(leadership, m, m->weight, weight);
 	}
@@ -581,6 +604,7 @@
 		leadership->resigned = false;
 	} else if (!leadership->leaderless_ms) {
 		leadership->leaderless_ms = now_ms;
+		schedule_beats_now(leadership);
 	}
 	if (!leadership->leader && may_claim(leadership, now_ms))
 		leader_raise_claim(leadership, now_ms, wall_ms);
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -11,7 +11,7 @@
  * the leader, lease_node_peer.c handles messages from and to other instances.
  */
 
-#define LEASE_NODE_MAX_ADDRESSES 128 /* of instances to be dialled */
+#define LEASE_NODE_MAX_ADDRESSES 4096 /* of instances to be dialled */
 
 /* A caller's job that has not been answered. */
 struct lease_node_job {
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -8,7 +8,7 @@
 #include "base/tests/run_suite.h"
 #include "core/leader_member.h"
 
-#define COUNT 3
+#define COUNT 6
 #define WALL_MS UINT64_C(1790000000000)
 
 static struct leadership *members[COUNT];
@@ -105,6 +105,30 @@
 }
 END_TEST
 
+/*
+ * A data centre is cut off without closing its links. It does not wait for the
+ * better candidates of the others, whose last beats would be valid for seconds:
+ * callers are refused when there is no leader for 1.5 s.
+ */
+START_TEST(test_data_centre_cut_off)
+{
+	int cut = 0;
+	uint64_t begin_ms;
+
+	link_all();
+	advance(3000);
+	for (int i = 0; i < COUNT; i++)
+		if (!leader_claim(members[i]))
+			cut = i; /* ranks last: equal weights */
+	begin_ms = now_ms;
+	while (!leader_claim(members[cut]) && now_ms < begin_ms + 5000) {
+		now_ms += 20;
+		leader_elect(members[cut], now_ms, WALL_MS);
+	}
+	ck_assert_uint_lt(now_ms - begin_ms, 1500);
+}
+END_TEST
+
 /* All instances claim in the same millisecond, before any beat arrives. */
 START_TEST(test_claims_at_once)
 {
@@ -424,11 +448,12 @@
 
 int main(void)
 {
-	return RUN_CASE(
-		"leader_member", set_up, tear_down, test_one_leads,
-		test_start_at_once, test_no_wait_for_one_that_has_just_started,
-		test_outranked_by_one_that_is_lost, test_claims_at_once,
-		test_partition_heals, test_stop, test_stop_keeps_entries_valid,
-		test_better_local_members, test_slow_leader_gives_up,
-		test_pause_is_not_slow, test_slow_leader_stays);
+	return RUN_CASE("leader_member", set_up, tear_down, test_one_leads,
+			test_data_centre_cut_off, test_start_at_once,
+			test_no_wait_for_one_that_has_just_started,
+			test_outranked_by_one_that_is_lost, test_claims_at_once,
+			test_partition_heals, test_stop,
+			test_stop_keeps_entries_valid,
+			test_better_local_members, test_slow_leader_gives_up,
+			test_pause_is_not_slow, test_slow_leader_stays);
 }
--- a/packages/core/tests/test_lease_node_peer.c
+++ b/packages/core/tests/test_lease_node_peer.c
@@ -3,6 +3,7 @@
  * new version at about the same time, each sending it to all others filled
  * their links for seconds.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "base/tests/run_suite.h"
@@ -14,6 +15,7 @@
 static struct lease_node *node;
 static struct lease_node_ports ports;
 static uint32_t offers[MEMBERS + 1]; /* by the receiver's incarnation */
+static uint32_t dials;
 static uint64_t now_ms;
 
 static void port_send(void *ctx, uint64_t incarnation,
@@ -51,6 +53,7 @@
 {
 	(void)ctx;
 	(void)address;
+	dials++;
 }
 
 static void receive_beat(uint64_t from, uint64_t config_version)
@@ -105,6 +108,25 @@
 	talloc_free(node);
 }
 
+/*
+ * With as many instances as the largest site plans, every pair is linked: one
+ * that is not linked to the leader would serve nobody, or claim to lead.
+ */
+START_TEST(test_all_members_are_dialled)
+{
+	char address[32];
+
+	dials = 0;
+	for (int i = 0; i < 1740; i++) {
+		snprintf(address, sizeof(address), "10.0.%d.%d:1", i / 250,
+			 i % 250);
+		lease_node_member_listed(node, address);
+		lease_node_member_listed(node, address);
+	}
+	ck_assert_uint_eq(dials, 1740);
+}
+END_TEST
+
 START_TEST(test_new_version_is_not_broadcast)
 {
 	lease_node_config_read(node, "2", 1, now_ms);
@@ -152,6 +174,7 @@
 int main(void)
 {
 	return RUN_CASE("lease_node_peer", set_up, tear_down,
+			test_all_members_are_dialled,
 			test_new_version_is_not_broadcast,
 			test_member_that_stays_behind_gets_it,
 			test_new_member_is_given_time);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3726,7 +3726,7 @@
   (ProtobufCMessageInit) bergamot__queue_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[12] =
 {
   {
     "claim",
@@ -3860,6 +3860,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaderless",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LeaderBeat, leaderless),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = addresses */
@@ -3868,6 +3880,7 @@
   6,   /* field[6] = config_version */
   4,   /* field[4] = echo_ms */
   1,   /* field[1] = highest_claim */
+  11,   /* field[11] = leaderless */
   10,   /* field[10] = overloaded */
   9,   /* field[9] = share */
   5,   /* field[5] = stopping */
@@ -3877,7 +3890,7 @@
 static const ProtobufCIntRange bergamot__leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bergamot__leader_beat__descriptor =
 {
@@ -3887,7 +3900,7 @@
   "Bergamot__LeaderBeat",
   "bergamot",
   sizeof(Bergamot__LeaderBeat),
-  11,
+  12,
   bergamot__leader_beat__field_descriptors,
   bergamot__leader_beat__field_indices_by_name,
   1,  bergamot__leader_beat__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -595,10 +595,14 @@
    * The sender stopped leading because it was overloaded.
    */
   protobuf_c_boolean overloaded;
+  /*
+   * The sender knows of no leader, and asks for a beat at once.
+   */
+  protobuf_c_boolean leaderless;
 };
 #define BERGAMOT__LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__leader_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
