core: when a cut heals, the smaller side's leader yields

Ruled out: raising the larger side's claim at once; its leader takes the workers back as before, once they have obeyed another one for 0.6 s. Change: a leader's beat says whether it has been in touch with most members for 2 s; such a leader goes before one that is not, whatever their claims. A pause of the process ends that.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -50,6 +50,11 @@
  * another leader would not help.
  */
 #define MAX_OVERLOADED_MEMBERS 2
+/*
+ * After a cut has healed, links come up within this time; before that, the
+ * smaller side's leader must not take the others for its own.
+ */
+#define MAJORITY_WAIT_MS 2000
 #define LOST_MEMBER_TTL_MS 30000 /* until then it counts for the majority */
 
 struct leadership {
@@ -72,6 +77,16 @@
 		uint32_t slow_windows; /* in a row */
 	} lag;
 	uint64_t overloaded_until_ms; /* 0: not overloaded */
+	/* Since when this leader is in touch with most members; 0: it is not.
+	 */
+	uint64_t majority_ms;
+};
+
+/* What the claims of two leaders are compared by. */
+struct claimant {
+	uint64_t claim;
+	uint64_t owner;
+	bool majority;
 };
 
 static int destroy(struct leadership *leadership)
@@ -160,6 +175,28 @@
 	       now_ms - member->last_beat_ms <= valid_ms;
 }
 
+/* Majority */
+
+static void update_majority(struct leadership *leadership, uint64_t now_ms)
+{
+	if (!leadership->claim || !leader_has_majority(leadership, now_ms))
+		leadership->majority_ms = 0;
+	else if (!leadership->majority_ms)
+		leadership->majority_ms = now_ms;
+}
+
+static bool leads_majority(const struct leadership *leadership, uint64_t now_ms)
+{
+	return leadership->claim && leadership->majority_ms &&
+	       now_ms - leadership->majority_ms >= MAJORITY_WAIT_MS &&
+	       leader_has_majority(leadership, now_ms);
+}
+
+void leader_note_pause(struct leadership *leadership)
+{
+	leadership->majority_ms = 0;
+}
+
 /* Links */
 
 /* Removes earlier incarnations of an instance that was restarted. */
@@ -270,6 +307,7 @@
 	member->last_beat_ms = now_ms;
 	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
+	member->majority = beat->claim && beat->majority;
 	member->weight = beat->weight;
 	member->share = beat->share;
 	member->stopping = beat->stopping;
@@ -306,6 +344,7 @@
 	beat->stopping = leadership->stopping;
 	beat->leaderless =
 		leadership->candidate_ms && leadership->leaderless_ms;
+	beat->majority = leads_majority(leadership, now_ms);
 }
 
 bool leader_beat_due(struct leadership *leadership,
@@ -487,24 +526,53 @@
 	return now_ms - leadership->leaderless_ms >= wait_ms + rank_ms;
 }
 
-/* Equal claims, which are rare, are ordered by their owners' incarnations. */
-static bool is_above(uint64_t claim, uint64_t owner, uint64_t other_claim,
-		     uint64_t other_owner)
+/*
+ * Returns true if a leader's claim goes before another's. Equal claims, which
+ * are rare, are ordered by their owners' incarnations.
+ */
+static bool is_above(const struct claimant *a, const struct claimant *b)
+{
+	if (a->majority != b->majority)
+		return a->majority;
+	if (a->claim != b->claim)
+		return a->claim > b->claim;
+	return a->owner > b->owner;
+}
+
+static struct claimant member_claimant(const struct leader_member *m)
+{
+	return (struct claimant){ m->claim, m->incarnation, m->majority };
+}
+
+static bool is_above_us(const struct leadership *leadership,
+			const struct leader_member *m, uint64_t now_ms)
 {
-	return claim != other_claim ? claim > other_claim : owner > other_owner;
+	struct claimant theirs = member_claimant(m);
+	struct claimant ours = {
+		.claim = leadership->claim,
+		.owner = leadership->options.incarnation,
+		.majority = leads_majority(leadership, now_ms),
+	};
+
+	return is_above(&theirs, &ours);
 }
 
 static const struct leader_member *
 find_highest_claim(struct leadership *leadership, uint64_t now_ms)
 {
+	struct claimant best_claimant = { 0 };
 	const struct leader_member *best = NULL;
 	const struct leader_member *m;
 
-	for (m = leadership->members; m; m = m->hh.next)
-		if (m->claim && leader_is_live(leadership, m, now_ms) &&
-		    (!best || is_above(m->claim, m->incarnation, best->claim,
-				       best->incarnation)))
-			best = m;
+	for (m = leadership->members; m; m = m->hh.next) {
+		struct claimant claimant = member_claimant(m);
+
+		if (!m->claim || !leader_is_live(leadership, m, now_ms) ||
+		    (best && !is_above(&claimant, &best_claimant)))
+			continue;
+		best = m;
+		best_claimant = claimant;
+	}
 	return best;
 }
 
@@ -583,15 +651,16 @@
 	uint64_t before = leadership->leader;
 
 	remove_lost_members(leadership, now_ms);
+	update_majority(leadership, now_ms);
 	check_lag(leadership, now_ms);
 	update_candidacy(leadership, now_ms);
 	if (leadership->claim && best &&
-	    is_above(best->claim, best->incarnation, leadership->claim,
-		     leadership->options.incarnation)) {
+	    is_above_us(leadership, best, now_ms)) {
 		log_info(LOG_MEMBER,
 			 "this instance gives up claim %" PRIu64
-			 ": member %s has claim %" PRIu64,
-			 leadership->claim, best->instance, best->claim);
+			 ": member %s has claim %" PRIu64 "%s",
+			 leadership->claim, best->instance, best->claim,
+			 best->majority ? " and the majority" : "");
 		leadership->claim = 0;
 		schedule_beats_now(leadership);
 	}
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -14,7 +14,9 @@
  * only rises and serves as the fencing token at the workers, so that a wrong
  * view of the leader costs a takeover and never a second run of a task. The
  * live member with the highest claim leads; if no member claims, the one with
- * the largest processor share does.
+ * the largest processor share does. A leader that is in touch with most members
+ * goes before one that is not: when a cut heals, the smaller side yields,
+ * though its claim is the later one.
  *
  * Each side knows until when the other is certain to count it as live: a beat
  * echoes the receiver's own clock, so that delayed beats extend nothing.
@@ -52,6 +54,7 @@
 	uint64_t clock_ms; /* its clock in its last beat, to be echoed */
 	uint64_t valid_until_ms; /* it may count us as live until this time */
 	uint64_t claim; /* 0: it does not claim to lead */
+	bool majority; /* it leads in touch with most members */
 	bool resigned; /* gave up its claim, as its last beat says */
 	uint32_t weight; /* 0: it may not claim */
 	uint32_t share; /* processor share in thousandths; 0: unknown */
@@ -132,6 +135,9 @@
  */
 void leader_set_preferred(struct leadership *leadership, bool preferred);
 
+/* The process was paused: what it knew of the others is out of date. */
+void leader_note_pause(struct leadership *leadership);
+
 /* Gives up the claim, if any, and never claims again. */
 void leader_stop(struct leadership *leadership);
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -43,6 +43,7 @@
 			    "it starts no task for %d ms",
 			    gap_ms, HOLD_BACK_MS);
 		counter_add(COUNTER_PAUSES, 1);
+		leader_note_pause(lease_node->members);
 		lease_defer_starts(lease_node->dispatch, now_ms + HOLD_BACK_MS);
 	}
 	lease_node->active_ms = now_ms;
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -86,6 +86,16 @@
 	return count;
 }
 
+static void cut_off(int cut)
+{
+	for (int i = 0; i < COUNT; i++) {
+		if (i == cut)
+			continue;
+		leader_link_down(members[i], incarnation(cut), now_ms);
+		leader_link_down(members[cut], incarnation(i), now_ms);
+	}
+}
+
 static void link_all(void)
 {
 	for (int i = 0; i < COUNT; i++)
@@ -129,6 +139,33 @@
 }
 END_TEST
 
+/*
+ * A cut heals: the smaller side's leader yields, though its claim is higher, so
+ * that only its own workers change hands.
+ */
+START_TEST(test_smaller_side_yields)
+{
+	uint64_t leader;
+	int cut = 0;
+
+	link_all();
+	advance(5000);
+	leader = leader_current(members[0]);
+	for (int i = 0; i < COUNT; i++)
+		if (!leader_claim(members[i]))
+			cut = i;
+	cut_off(cut);
+	advance(5000);
+	ck_assert_int_eq(count_leaders(), 2);
+	ck_assert_uint_gt(leader_claim(members[cut]),
+			  leader_claim(members[(leader >> 32) - 1]));
+	link_all();
+	advance(3000);
+	for (int i = 0; i < COUNT; i++)
+		ck_assert_uint_eq(leader_current(members[i]), leader);
+}
+END_TEST
+
 /* All instances claim in the same millisecond, before any beat arrives. */
 START_TEST(test_claims_at_once)
 {
@@ -448,12 +485,12 @@
 
 int main(void)
 {
-	return RUN_CASE("leader_member", set_up, tear_down, test_one_leads,
-			test_data_centre_cut_off, test_start_at_once,
-			test_no_wait_for_one_that_has_just_started,
-			test_outranked_by_one_that_is_lost, test_claims_at_once,
-			test_partition_heals, test_stop,
-			test_stop_keeps_entries_valid,
-			test_better_local_members, test_slow_leader_gives_up,
-			test_pause_is_not_slow, test_slow_leader_stays);
+	return RUN_CASE(
+		"leader_member", set_up, tear_down, test_one_leads,
+		test_data_centre_cut_off, test_smaller_side_yields,
+		test_start_at_once, test_no_wait_for_one_that_has_just_started,
+		test_outranked_by_one_that_is_lost, test_claims_at_once,
+		test_partition_heals, test_stop, test_stop_keeps_entries_valid,
+		test_better_local_members, test_slow_leader_gives_up,
+		test_pause_is_not_slow, test_slow_leader_stays);
 }
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3726,7 +3726,7 @@
   (ProtobufCMessageInit) bergamot__queue_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bergamot__leader_beat__field_descriptors[13] =
 {
   {
     "claim",
@@ -3872,6 +3872,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "majority",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LeaderBeat, majority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__leader_beat__field_indices_by_name[] = {
   8,   /* field[8] = addresses */
@@ -3881,6 +3893,7 @@
   4,   /* field[4] = echo_ms */
   1,   /* field[1] = highest_claim */
   11,   /* field[11] = leaderless */
+  12,   /* field[12] = majority */
   10,   /* field[10] = overloaded */
   9,   /* field[9] = share */
   5,   /* field[5] = stopping */
@@ -3890,7 +3903,7 @@
 static const ProtobufCIntRange bergamot__leader_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bergamot__leader_beat__descriptor =
 {
@@ -3900,7 +3913,7 @@
   "Bergamot__LeaderBeat",
   "bergamot",
   sizeof(Bergamot__LeaderBeat),
-  12,
+  13,
   bergamot__leader_beat__field_descriptors,
   bergamot__leader_beat__field_indices_by_name,
   1,  bergamot__leader_beat__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -599,10 +599,14 @@
    * The sender knows of no leader, and asks for a beat at once.
    */
   protobuf_c_boolean leaderless;
+  /*
+   * The sender leads, and has been in touch with most members for some time.
+   */
+  protobuf_c_boolean majority;
 };
 #define BERGAMOT__LEADER_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__leader_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
