core: workers of a silent relay are looked at through another one at once

Cause: found by reading. The doubt about a silent relay's workers was noted before their pending holds were ended as not answered, so that the next hold counted as the third failure and waited 0.4 s; a refused submission also made the next round of starts go through all waiting jobs. Change: pending holds end first; only a new job makes a round due.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -12,7 +12,7 @@
  * are of this kind, and decide little about one another.
  */
 #define IDLE_BEAT_MS 5000
-#define FOLLOWER_VALID_BEATS 4
+#define FOLLOWER_VALID_BEATS 4 /* periods after which a member is not live */
 /* Links to live members are up this long after the start. */
 #define START_WAIT_MS 400
 #define UNLINKED_START_WAIT_MS 3000 /* if no member has sent a beat yet */
@@ -77,9 +77,7 @@
 		uint32_t slow_windows; /* in a row */
 	} lag;
 	uint64_t overloaded_until_ms; /* 0: not overloaded */
-	/* Since when this leader is in touch with most members; 0: it is not.
-	 */
-	uint64_t majority_ms;
+	uint64_t majority_ms; /* since when most members are live; 0: not */
 };
 
 /* What the claims of two leaders are compared by. */
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -447,7 +447,6 @@
 	bool was_full = dispatch->is_full;
 	struct lease_job *job;
 
-	dispatch->is_full = false;
 	snprintf(id, sizeof(id), "%s", from->id);
 	if (join_job(dispatch, from))
 		return;
@@ -477,6 +476,7 @@
 		 job->id, from->waiter.entry, job->queue, job->priority,
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
+	dispatch->is_full = false;
 	/* Behind a backlog it waits for the next round. */
 	if (!was_full)
 		lease_run(dispatch, now_ms);
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -47,6 +47,7 @@
 	uint32_t failures; /* in a row */
 	uint32_t rank; /* of relay in the worker's order of preference */
 	uint32_t pending; /* number of pending calls */
+	bool left; /* its relay has just become silent */
 	uint64_t last_used_ms;
 };
 
@@ -634,10 +635,13 @@
 		    relay, health->unanswered,
 		    lease_relay->now_ms - health->oldest_ms);
 	for (route = lease_relay->routes; route; route = route->hh.next)
-		if (route->relay == relay)
+		route->left = route->relay == relay;
+	/* Sends the next holds through other relays, without delay. */
+	end_calls(lease_relay, relay);
+	for (route = lease_relay->routes; route; route = route->hh.next)
+		if (route->left)
 			pool_doubt_worker(lease_relay->pool, route->worker,
 					  lease_relay->now_ms);
-	end_calls(lease_relay, relay);
 }
 
 static void expire_silence(struct lease_relay *lease_relay)
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -24,9 +24,13 @@
 	uint64_t serial;
 	uint32_t calls;
 	bool woken;
-	/* Holds sent to relay 2 and not answered, and orders sent to 3. */
-	uint64_t holds[MAX_ORDERS];
-	size_t hold_count;
+	/* Calls that relays 2 and 3 are to answer at once. */
+	struct {
+		uint64_t to;
+		uint32_t call;
+		uint64_t number;
+	} prompt[MAX_ORDERS];
+	size_t prompt_count;
 	uint32_t orders_to_3;
 };
 
@@ -43,10 +47,15 @@
 	for (size_t i = 0; i < orders->n_orders; i++) {
 		if (!strcmp(orders->orders[i]->worker, "w1"))
 			instance->w1_relay = to;
-		if (to == 2 && instance->hold_count < MAX_ORDERS)
-			instance->holds[instance->hold_count++] =
-				orders->orders[i]->number;
 		instance->orders_to_3 += to == 3;
+		if (orders->orders[i]->wait_ms ||
+		    instance->prompt_count == MAX_ORDERS)
+			continue;
+		instance->prompt[instance->prompt_count].to = to;
+		instance->prompt[instance->prompt_count].call =
+			orders->orders[i]->call;
+		instance->prompt[instance->prompt_count++].number =
+			orders->orders[i]->number;
 	}
 }
 
@@ -363,24 +372,38 @@
 }
 END_TEST
 
-/* Answers all holds that were sent to relay 2. */
-static void answer_holds(void)
+/* Answers the prompt calls to relay 2, and to 3 unless it is silent. */
+static void answer_calls(bool silent)
 {
-	for (size_t i = 0; i < leader.hold_count; i++) {
+	for (size_t i = 0; i < leader.prompt_count; i++) {
 		Bergamot__WorkerAnswers msg = BERGAMOT__WORKER_ANSWERS__INIT;
 		Bergamot__WorkerAnswer answer = BERGAMOT__WORKER_ANSWER__INIT;
 		Bergamot__WorkerAnswer *row = &answer;
 
-		answer.call = BERGAMOT__WORKER_CALL__HOLD;
-		answer.number = leader.holds[i];
+		if (silent && leader.prompt[i].to == 3)
+			continue;
+		answer.call = (Bergamot__WorkerCall)leader.prompt[i].call;
+		answer.number = leader.prompt[i].number;
 		answer.answer = POOL_OK;
 		answer.clock_ms = 500;
 		answer.born_ms = 1;
 		msg.answers = &row;
 		msg.n_answers = 1;
-		relay_receive_answers(leader.lease_relay, 2, &msg, now_ms);
+		relay_receive_answers(leader.lease_relay, leader.prompt[i].to,
+				      &msg, now_ms);
+	}
+	leader.prompt_count = 0;
+}
+
+static void start_everywhere(void)
+{
+	struct pool_run run = { .number = 1, .estimate_ms = 1000 };
+	struct pool_worker *worker;
+
+	TAILQ_FOREACH(worker, pool_workers(pool), entry) {
+		snprintf(run.name, sizeof(run.name), "%s.0.0.0", worker->id);
+		pool_start(pool, worker, &run, "t", now_ms);
 	}
-	leader.hold_count = 0;
 }
 
 static uint64_t count_usable(void)
@@ -413,12 +436,13 @@
 	advance(110);
 	leader_receive_beat(members, 3, &beat, now_ms);
 	pool_lead(pool, 5, now_ms);
-	/* Relay 2 answers for its workers, relay 3 for none. */
-	for (int round = 0; round < 12; round++) {
+	for (int round = 0; round < 14; round++) {
+		if (round == 2)
+			start_everywhere();
 		relay_flush(leader.lease_relay);
-		answer_holds();
-		if (!round)
+		if (round == 7)
 			orders = leader.orders_to_3;
+		answer_calls(round >= 2);
 		leader_receive_beat(members, 3, &beat, now_ms);
 		advance(10);
 	}
