--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -64,7 +64,7 @@
 	uint64_t offered_version; /* of the configuration last sent to it */
 	uint64_t offered_ms;
 	uint64_t beat_due_ms;
-	uint64_t listed_ms; /* when it was last told of links; 0: never */
+	uint64_t listed_ms; /* time of the last beat with addresses; 0: none */
 };
 
 struct leader_options {
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -198,30 +198,61 @@
 	free_job(dispatch, job);
 }
 
+/* Changes of a task's state */
+
+static void end_waiting(struct task *task)
+{
+	struct lease_job *job = task->job;
+
+	job->waiting--;
+	job->states[task->step].waiting--;
+	job->dispatch->waiting_tasks--;
+	job->begun = true;
+}
+
+static void begin_running(struct task *task)
+{
+	end_waiting(task);
+	task->state = TASK_RUNNING;
+	task->job->running++;
+	task->job->dispatch->running_tasks++;
+}
+
+static void end_running(struct task *task)
+{
+	task->run = NULL;
+	task->job->running--;
+	task->job->dispatch->running_tasks--;
+}
+
+/* Ends the job if this was its last task. */
+static void note_done(struct task *task, uint64_t now_ms)
+{
+	struct lease_job *job = task->job;
+
+	task->state = TASK_DONE;
+	job->states[task->step].done++;
+	if (++job->done == job->tasks)
+		lease_finish(job->dispatch, job, LEASE_COMPLETED,
+			     LEASE_NO_REASON, now_ms);
+}
+
 static void on_run_closed(void *ctx, struct pool_run *run, enum pool_end how,
 			  uint64_t now_ms)
 {
 	struct lease_dispatch *dispatch = ctx;
 	struct task *task = run->task;
 	struct lease_job *job = task->job;
-	struct step_state *state = &job->states[task->step];
 
-	task->run = NULL;
-	job->running--;
-	dispatch->running_tasks--;
+	end_running(task);
 	if (how == POOL_DONE) {
 		counter_add(COUNTER_TASKS_DONE, 1);
-		task->state = TASK_DONE;
-		state->done++;
-		job->done++;
-		if (job->done == job->tasks)
-			lease_finish(dispatch, job, LEASE_COMPLETED,
-				     LEASE_NO_REASON, now_ms);
+		note_done(task, now_ms);
 		return;
 	}
 	task->state = TASK_WAITING;
 	job->waiting++;
-	state->waiting++;
+	job->states[task->step].waiting++;
 	dispatch->waiting_tasks++;
 	if (how == POOL_OLD)
 		task->next_number += OLD_RUN_NUMBER_SKIP;
@@ -330,17 +361,6 @@
 	return &job->states[step].tasks[index];
 }
 
-static void end_waiting(struct task *task, enum task_state state)
-{
-	struct lease_job *job = task->job;
-
-	task->state = state;
-	job->waiting--;
-	job->states[task->step].waiting--;
-	job->dispatch->waiting_tasks--;
-	job->begun = true;
-}
-
 /*
  * Attaches a run that an earlier leader started to its task. Returns false if
  * the job is not known; leaves run->task unset if the task needs no run.
@@ -354,9 +374,7 @@
 		return false;
 	if (!task || task->state != TASK_WAITING)
 		return true; /* a second run of its task: the pool stops it */
-	end_waiting(task, TASK_RUNNING);
-	job->running++;
-	job->dispatch->running_tasks++;
+	begin_running(task);
 	task->run = run;
 	task->next_number = run->number + 1;
 	run->task = task;
@@ -365,22 +383,6 @@
 	return true;
 }
 
-/* Stops a task's run, so that the task waits again. */
-static void abandon_run(struct lease_dispatch *dispatch, struct task *task,
-			uint64_t now_ms)
-{
-	struct lease_job *job = task->job;
-
-	pool_abandon(dispatch->pool, task->run, now_ms);
-	task->run = NULL;
-	task->state = TASK_WAITING;
-	job->waiting++;
-	job->states[task->step].waiting++;
-	job->running--;
-	dispatch->waiting_tasks++;
-	dispatch->running_tasks--;
-}
-
 static bool adopt_done(void *ctx, const char *id, const char *name,
 		       uint64_t now_ms)
 {
@@ -392,14 +394,13 @@
 		return false;
 	if (!task || task->state == TASK_DONE)
 		return true;
-	if (task->state == TASK_RUNNING)
-		abandon_run(dispatch, task, now_ms);
-	end_waiting(task, TASK_DONE);
-	job->states[task->step].done++;
-	job->done++;
-	if (job->done == job->tasks)
-		lease_finish(ctx, job, LEASE_COMPLETED, LEASE_NO_REASON,
-			     now_ms);
+	if (task->state == TASK_RUNNING) {
+		pool_abandon(dispatch->pool, task->run, now_ms);
+		end_running(task);
+	} else {
+		end_waiting(task);
+	}
+	note_done(task, now_ms);
 	return true;
 }
 
@@ -555,15 +556,22 @@
 	return true;
 }
 
+/* Finding out walks through all workers: only for a job that needs it. */
+#define HELD_UNKNOWN UINT64_MAX
+
 /*
  * Returns true while runs of earlier leaders may be open on workers that this
  * instance does not hold.
  */
-static bool is_deferred(const struct lease_job *job, uint64_t held_since_ms,
+static bool is_deferred(const struct lease_dispatch *dispatch,
+			const struct lease_job *job, uint64_t *held_since_ms,
 			uint64_t now_ms)
 {
-	return now_ms < job->earlier_runs_over_ms &&
-	       (!held_since_ms || held_since_ms < job->probed_ms);
+	if (now_ms >= job->earlier_runs_over_ms)
+		return false;
+	if (*held_since_ms == HELD_UNKNOWN)
+		*held_since_ms = pool_all_held_since(dispatch->pool, now_ms);
+	return !*held_since_ms || *held_since_ms < job->probed_ms;
 }
 
 static int compare_jobs(const void *a, const void *b, void *arg)
@@ -580,7 +588,7 @@
 /* Puts the jobs that may start now into dispatch->sorted, in no order. */
 static size_t collect_jobs(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
-	uint64_t held_since_ms = pool_all_held_since(dispatch->pool, now_ms);
+	uint64_t held_since_ms = HELD_UNKNOWN;
 	size_t room = talloc_array_length(dispatch->sorted);
 	size_t count = 0;
 	struct lease_job *job;
@@ -592,7 +600,7 @@
 	for (job = dispatch->jobs; job; job = job->hh.next) {
 		if (!job->waiting || job->abandon_at_ms ||
 		    job->deadline_ms <= now_ms ||
-		    is_deferred(job, held_since_ms, now_ms))
+		    is_deferred(dispatch, job, &held_since_ms, now_ms))
 			continue;
 		lease_refresh_key(job, now_ms);
 		dispatch->sorted[count++] = job;
@@ -687,9 +695,7 @@
 		histogram_observe_ms(HISTOGRAM_JOB_WAIT,
 				     now_ms - job->received_ms);
 	memcpy(run.job, job->id, sizeof(run.job));
-	end_waiting(task, TASK_RUNNING);
-	job->running++;
-	dispatch->running_tasks++;
+	begin_running(task);
 	task->run = pool_start(dispatch->pool, worker, &run, job->text, now_ms);
 }
 
@@ -860,13 +866,10 @@
  * Returns true if no task has begun and the job would end later than
  * MAX_OBJECTIVE_FACTOR times its objective.
  */
-static bool is_too_late(struct lease_dispatch *dispatch, struct lease_job *job,
-			uint64_t now_ms)
+static bool is_too_late(const struct lease_dispatch *dispatch,
+			const struct lease_job *job)
 {
-	if (!dispatch->options.admission || job->begun)
-		return false;
-	lease_refresh_key(job, now_ms);
-	return job->lateness > 1;
+	return dispatch->options.admission && !job->begun && job->lateness > 1;
 }
 
 /*
@@ -874,12 +877,11 @@
  * if they started now on the fastest worker.
  */
 static bool is_hopeless(const struct lease_dispatch *dispatch,
-			struct lease_job *job, uint64_t now_ms)
+			const struct lease_job *job, uint64_t now_ms)
 {
 	if (!dispatch->options.admission || !job->waiting ||
 	    dispatch->fastest <= 0)
 		return false;
-	lease_refresh_key(job, now_ms);
 	return (double)job->remaining_ms / dispatch->fastest >
 	       (double)run_limit_ms(job, now_ms);
 }
@@ -887,6 +889,7 @@
 static void tick_job(struct lease_dispatch *dispatch, struct lease_job *job,
 		     uint64_t now_ms)
 {
+	lease_refresh_key(job, now_ms);
 	if (job->abandon_at_ms && job->abandon_at_ms <= now_ms)
 		lease_finish(dispatch, job, LEASE_GIVEN_UP, LEASE_NO_REASON,
 			     now_ms);
@@ -894,7 +897,7 @@
 		lease_finish(dispatch, job,
 			     job->begun ? LEASE_GIVEN_UP : LEASE_REFUSED,
 			     LEASE_DEADLINE, now_ms);
-	else if (is_too_late(dispatch, job, now_ms) ||
+	else if (is_too_late(dispatch, job) ||
 		 is_hopeless(dispatch, job, now_ms))
 		lease_finish(dispatch, job,
 			     job->begun ? LEASE_GIVEN_UP : LEASE_REFUSED,
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -141,19 +141,18 @@
 static void send_to_leader(struct lease_node *lease_node,
 			   struct lease_node_job *job, uint64_t now_ms)
 {
-	if (!lease_node->leader)
+	uint64_t leader = lease_node->leader;
+	bool leads = leader == lease_node->options.incarnation;
+
+	if (!leader || (!leads && !is_linked(lease_node, leader)))
 		return;
-	if (lease_node->leader == lease_node->options.incarnation ||
-	    is_linked(lease_node, lease_node->leader))
-		leave_former(lease_node, job, now_ms);
-	if (lease_node->leader == lease_node->options.incarnation) {
-		job->sent_to = lease_node->leader;
+	leave_former(lease_node, job, now_ms);
+	job->sent_to = leader;
+	if (leads) {
 		submit_locally(lease_node, job, now_ms);
-	} else if (is_linked(lease_node, lease_node->leader)) {
-		job->sent_to = lease_node->leader;
+	} else {
 		counter_add(COUNTER_PEER_FORWARDS, 1);
-		lease_node_send_job(lease_node, job, lease_node->leader,
-				    now_ms);
+		lease_node_send_job(lease_node, job, leader, now_ms);
 	}
 }
 
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -72,7 +72,7 @@
 	pool_update_slot(pool, worker);
 }
 
-static struct pool_slot *add_slot(struct lease_pool *pool)
+static void add_slot(struct lease_pool *pool, struct pool_worker *worker)
 {
 	size_t room = talloc_array_length(pool->slots);
 
@@ -80,7 +80,8 @@
 		pool->slots =
 			talloc_realloc(pool, pool->slots, struct pool_slot,
 				       room ? room * 2 : 64);
-	return &pool->slots[pool->slot_count++];
+	worker->slot = pool->slot_count++;
+	pool_update_slot(pool, worker);
 }
 
 static void remove_slot(struct lease_pool *pool, size_t index)
@@ -127,9 +128,7 @@
 	worker->id = talloc_strdup(worker, id);
 	worker->speed = 1.0;
 	LIST_INIT(&worker->runs);
-	worker->slot = pool->slot_count;
-	add_slot(pool);
-	pool_update_slot(pool, worker);
+	add_slot(pool, worker);
 	HASH_ADD_KEYPTR(hh, pool->by_id, worker->id, strlen(worker->id),
 			worker);
 	TAILQ_INSERT_TAIL(&pool->workers, worker, entry);
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -29,7 +29,7 @@
 #define SILENT_CALLS 3
 #define SILENT_FACTOR 2
 #define MIN_SILENCE_MS 40
-#define SILENT_RETRY_MS 3000 /* it is tried again after this time */
+#define SILENT_RETRY_MS 3000 /* until a silent relay is used again */
 #define LATE_TICK_MS 40 /* after a longer gap, answers may not be read yet */
 /*
  * A worker whose route is unused for this long is no longer registered:
@@ -331,29 +331,18 @@
 
 /* The leader's side */
 
-static struct pending *find_pending(struct lease_relay *lease_relay,
-				    Bergamot__WorkerCall call, uint64_t number)
-{
-	struct call_key key = { .number = number, .call = call };
-	struct pending *p;
-
-	HASH_FIND(hh, lease_relay->pending, &key, sizeof(key), p);
-	return p;
-}
-
 static void add_pending(struct lease_relay *lease_relay, struct route *route,
-			uint64_t number, Bergamot__WorkerCall call,
-			uint32_t timeout_ms)
+			const Bergamot__WorkerOrder *order)
 {
 	struct pending *p = talloc_zero(lease_relay, struct pending);
 
-	p->key.number = number;
-	p->key.call = call;
+	p->key.number = order->number;
+	p->key.call = order->call;
 	p->route = route;
 	p->relay = route->relay;
-	p->prompt = true;
+	p->prompt = !order->wait_ms;
 	p->sent_ms = lease_relay->now_ms;
-	p->due_ms = lease_relay->now_ms + timeout_ms + ANSWER_SLACK_MS;
+	p->due_ms = lease_relay->now_ms + order->timeout_ms + ANSWER_SLACK_MS;
 	route->pending++;
 	route->last_used_ms = lease_relay->now_ms;
 	HASH_ADD(hh, lease_relay->pending, key, sizeof(p->key), p);
@@ -370,7 +359,6 @@
 {
 	Bergamot__WorkerOrder *order = add_order(lease_relay, route->relay);
 
-	add_pending(lease_relay, route, number, call, timeout_ms);
 	order->call = call;
 	order->number = number;
 	order->worker = talloc_strdup(order, route->worker);
@@ -398,10 +386,7 @@
 	order->deadline_ms = call->deadline_ms;
 	order->ends_read = call->ends_read;
 	order->wait_ms = call->wait_ms;
-	if (call->wait_ms)
-		find_pending(lease_relay, BERGAMOT__WORKER_CALL__HOLD,
-			     call->serial)
-			->prompt = false;
+	add_pending(lease_relay, route, order);
 }
 
 static void port_start(void *ctx, const struct pool_start_call *call)
@@ -424,6 +409,7 @@
 	order->run = call->number;
 	order->spec.len = strlen(call->text);
 	order->spec.data = talloc_memdup(order, call->text, order->spec.len);
+	add_pending(lease_relay, route, order);
 }
 
 static void port_stop(void *ctx, const struct pool_stop_call *call)
@@ -443,6 +429,7 @@
 			  call->timeout_ms);
 	order->task = talloc_strdup(order, call->task);
 	order->run = call->number;
+	add_pending(lease_relay, route, order);
 }
 
 struct pool_ports relay_ports(struct lease_relay *lease_relay)
@@ -485,9 +472,11 @@
 static struct pending *remove_pending(struct lease_relay *lease_relay,
 				      const Bergamot__WorkerAnswer *answer)
 {
-	struct pending *p =
-		find_pending(lease_relay, answer->call, answer->number);
+	struct call_key key = { .number = answer->number,
+				.call = answer->call };
+	struct pending *p;
 
+	HASH_FIND(hh, lease_relay->pending, &key, sizeof(key), p);
 	if (p)
 		HASH_DEL(lease_relay->pending, p);
 	return p;
