adapters: a stopping server resets no connection that was established

Ruled out: connections that were accepted; these are answered before the exit. Change: new SYNs are dropped by a socket filter, handshakes in flight get 100 ms, the queue is served, then the socket is closed. An attempt that was dropped is refused at its next SYN: no request of it is lost.

--- a/packages/adapters/callers.c
+++ b/packages/adapters/callers.c
@@ -318,7 +318,7 @@
 
 	(void)te;
 	(void)now;
-	if (http_server_connections(c->callers)) {
+	if (!http_server_is_drained(c->callers)) {
 		tevent_add_timer(ev, c,
 				 tevent_timeval_current_ofs(0, DRAIN_POLL_US),
 				 check_drained, c);
--- a/packages/adapters/http_server.c
+++ b/packages/adapters/http_server.c
@@ -1,6 +1,7 @@
 #include "adapters/http_server.h"
 
 #include <errno.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <stdbool.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 
 #include "adapters/address.h"
 #include "base/counter.h"
+#include "base/log.h"
 
 #define LISTEN_BACKLOG 1024
 #define MIN_BODY_ROOM_BYTES 1024
@@ -25,6 +27,11 @@
  * first MHD_run after a connection ends, but does not request that run.
  */
 #define MAX_RUN_INTERVAL_MS 100
+/* TCP handshakes that have begun are complete after this time. */
+#define HANDSHAKE_US 100000
+/* In a TCP header. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN 0x02
 
 struct request {
 	UT_hash_handle hh;
@@ -55,6 +62,7 @@
 	struct tevent_immediate *run_soon;
 	bool run_scheduled;
 	bool closing; /* close connections after their next answer */
+	int quiesced_fd; /* listens no longer, but is still open; or -1 */
 };
 
 static void run(struct http_server *server);
@@ -428,6 +436,8 @@
 			MHD_resume_connection(r->connection);
 	}
 	MHD_stop_daemon(server->daemon);
+	if (server->quiesced_fd >= 0)
+		close(server->quiesced_fd);
 	return 0;
 }
 
@@ -456,6 +466,7 @@
 
 	server->options = *options;
 	server->header_bytes = options->header_bytes;
+	server->quiesced_fd = -1;
 	if (address_parse(&address, options->listen))
 		fd = address_listen(&address, LISTEN_BACKLOG);
 	if (fd >= 0)
@@ -495,22 +506,73 @@
 		->num_connections;
 }
 
-void http_server_quiesce(struct http_server *server)
+/*
+ * Makes the kernel drop connection attempts. Otherwise a connection that is
+ * established between the last accept4 and close is reset without an answer.
+ */
+static void drop_new_connections(int fd)
+{
+	static struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0), /* drop */
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX), /* accept */
+	};
+	const struct sock_fprog filter = {
+		.len = sizeof(code) / sizeof(code[0]),
+		.filter = code,
+	};
+
+	if (setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+		       sizeof(filter)))
+		log_warning(LOG_CALLER,
+			    "connection attempts are not dropped before the "
+			    "listening socket is closed: %s",
+			    strerror(errno));
+}
+
+/* Connections in the listening socket's queue are served, too. */
+static void drain_queue(struct http_server *server)
 {
-	int fd = MHD_quiesce_daemon(server->daemon);
 	struct sockaddr_storage from;
 	socklen_t len = sizeof(from);
 	int waiting;
 
-	if (fd < 0)
-		return;
-	/* Connections already in the backlog are served, too. */
-	while ((waiting = accept4(fd, (struct sockaddr *)&from, &len,
-				  SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+	while ((waiting = accept4(server->quiesced_fd, (struct sockaddr *)&from,
+				  &len, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		MHD_add_connection(server->daemon, waiting,
 				   (struct sockaddr *)&from, len);
 		len = sizeof(from);
 	}
-	close(fd);
 	run_soon(server);
 }
+
+static void close_quiesced(struct tevent_context *ev, struct tevent_timer *te,
+			   struct timeval now, void *private_data)
+{
+	struct http_server *server = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	drain_queue(server);
+	close(server->quiesced_fd);
+	server->quiesced_fd = -1;
+}
+
+void http_server_quiesce(struct http_server *server)
+{
+	server->quiesced_fd = MHD_quiesce_daemon(server->daemon);
+	if (server->quiesced_fd < 0)
+		return;
+	drop_new_connections(server->quiesced_fd);
+	drain_queue(server);
+	tevent_add_timer(server->options.ev, server,
+			 tevent_timeval_current_ofs(0, HANDSHAKE_US),
+			 close_quiesced, server);
+}
+
+bool http_server_is_drained(const struct http_server *server)
+{
+	return server->quiesced_fd < 0 && !http_server_connections(server);
+}
--- a/packages/adapters/http_server.h
+++ b/packages/adapters/http_server.h
@@ -88,7 +88,13 @@
 /* Returns the number of open connections, including idle ones. */
 unsigned http_server_connections(const struct http_server *server);
 
-/* Stops accepting connections; requests on open ones are still served. */
+/*
+ * Stops accepting connections. Requests on those that are established by then
+ * are still served, until http_server_is_drained.
+ */
 void http_server_quiesce(struct http_server *server);
 
+/* Returns true once no connection is left after http_server_quiesce. */
+bool http_server_is_drained(const struct http_server *server);
+
 #endif
--- a/packages/adapters/tests/test_http_server.c
+++ b/packages/adapters/tests/test_http_server.c
@@ -1,4 +1,6 @@
 /* The HTTP server over raw sockets: late answers, limits, lost callers. */
+#include <errno.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -209,6 +211,99 @@
 }
 END_TEST
 
+#define QUIESCE_ROUNDS 100
+#define QUIESCE_CALLERS 4
+#define CONNECT_TIMEOUT_US 100000
+
+struct caller {
+	struct address address;
+	uint32_t answered;
+	uint32_t cut_off; /* connected, but got no answer */
+};
+
+static void answer_at_once(void *ctx, const struct http_server_request *request)
+{
+	struct http_server_response response = { .status = 200 };
+
+	(void)ctx;
+	http_server_reply(f->server, request->number, &response);
+}
+
+/* Sends requests on new connections until no connection is accepted. */
+static void *call_until_refused(void *arg)
+{
+	struct caller *caller = arg;
+	struct timeval limit = { .tv_sec = 60 };
+	struct timeval connect_limit = { .tv_usec = CONNECT_TIMEOUT_US };
+	char text[256];
+
+	for (;;) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &connect_limit,
+			   sizeof(connect_limit));
+		if (connect(fd, (struct sockaddr *)&caller->address.storage,
+			    caller->address.len)) {
+			close(fd);
+			return NULL;
+		}
+		if (send(fd, GET, strlen(GET), MSG_NOSIGNAL) > 0 &&
+		    recv(fd, text, sizeof(text), 0) > 0)
+			caller->answered++;
+		else
+			caller->cut_off++;
+		close(fd);
+	}
+}
+
+/*
+ * A planned stop cuts off no request: each connection that was established is
+ * answered, also one that is established while the server stops accepting.
+ */
+START_TEST(test_quiesce_cuts_off_nobody)
+{
+	struct http_server_options options = {
+		.listen = "127.0.0.1:0",
+		.body_bytes = 64,
+		.header_bytes = 16384,
+		.connections = 64,
+		.idle_ms = 60000,
+		.handler = answer_at_once,
+		.ev = f->ev,
+	};
+	struct caller callers[QUIESCE_CALLERS] = { 0 };
+	pthread_t threads[QUIESCE_CALLERS];
+	uint32_t cut_off = 0;
+
+	for (int round = 0; round < QUIESCE_ROUNDS; round++) {
+		talloc_free(f->server);
+		f->server = http_server_create(f, &options);
+		for (int i = 0; i < QUIESCE_CALLERS; i++) {
+			address_parse(&callers[i].address,
+				      talloc_asprintf(
+					      f, "127.0.0.1:%d",
+					      http_server_port(f->server)));
+			pthread_create(&threads[i], NULL, call_until_refused,
+				       &callers[i]);
+		}
+		for (int i = 0; i < 20 + round % 7; i++)
+			ck_assert_int_eq(tevent_loop_once(f->ev), 0);
+		http_server_close_after_answer(f->server);
+		http_server_quiesce(f->server);
+		while (!http_server_is_drained(f->server))
+			ck_assert_int_eq(tevent_loop_once(f->ev), 0);
+		for (int i = 0; i < QUIESCE_CALLERS; i++)
+			pthread_join(threads[i], NULL);
+	}
+	for (int i = 0; i < QUIESCE_CALLERS; i++) {
+		ck_assert_uint_gt(callers[i].answered, 0);
+		cut_off += callers[i].cut_off;
+	}
+	ck_assert_uint_eq(cut_off, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http_server");
@@ -222,6 +317,7 @@
 	tcase_add_test(tc, test_body_limit);
 	tcase_add_loop_test(tc, test_body_refused_at_once, 0, 2);
 	tcase_add_test(tc, test_chunked_body_limit);
+	tcase_add_test(tc, test_quiesce_cuts_off_nobody);
 	suite_add_tcase(s, tc);
 	return run_suite(s);
 }
