core: a probe acknowledges no ends

A worker restarted; the leader's start reached the new process, which ran it, and the answer was lost. The probe that followed acknowledged the old process's numbers, as the worker had answered less than 1 s before: the new process forgot its end unread, the run was not listed and the task ran again. Ruled out: a hold carried out seconds late; its ends had been read. Change: only a hold that follows an answer at once acknowledges ends.

--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -18,7 +18,6 @@
 #define WAIT_SLACK_MS 30 /* for the start and the answer in flight */
 #define OVERDUE_DIVISOR 4 /* an overdue task: waits its run time / 4 */
 #define HOLD_TIMEOUT_MS 75 /* on top of the wait, as for a start */
-#define MAX_ACK_AGE_MS 1000 /* since the last answer; above MAX_WAIT_MS */
 #define IDLE_PROBE_MS 5000 /* keeps the clock's drift (2%) under 0.1 s */
 /*
  * A start that is unanswered for this long, or for the mean answer time and a
@@ -61,14 +60,15 @@
 }
 
 /*
- * A worker that has not answered lately may have restarted, and numbers its
- * ends anew: acknowledging our number would drop ends that nobody has read.
+ * A worker that has restarted numbers its ends anew: acknowledging our number
+ * would drop ends that nobody has read. So only a hold that follows an answer at
+ * once acknowledges ends.
  */
 static uint64_t ends_to_acknowledge(const struct pool_worker *worker,
 				    uint64_t now_ms)
 {
 	return worker->state == POOL_HELD && !worker->failures &&
-			       now_ms - worker->answered_ms <= MAX_ACK_AGE_MS
+			       worker->answered_ms == now_ms
 		       ? worker->ends_read
 		       : 0;
 }
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -200,6 +200,34 @@
 END_TEST
 
 /* A job of a lower priority begins once there is room for all of it. */
+/*
+ * A worker may have restarted since it last answered. A probe, which does not
+ * follow an answer at once, must not drop the ends of its new process.
+ */
+START_TEST(test_probe_acknowledges_nothing)
+{
+	struct lease_submission first = fake_orders_submission(ID, 1);
+	struct lease_submission next =
+		fake_orders_submission("00000000000000a2", 1);
+	struct pool_listed_end end = { 1, TASK, 1, POOL_DONE };
+	const struct fake_orders_hold *hold;
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &first);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
+	hold = &fake->holds[fake->hold_count - 1];
+	ck_assert_uint_eq(hold->ends_read, 1);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_submit(fake, &next);
+	fake_orders_advance(fake, 60);
+	hold = &fake->holds[fake->hold_count - 1];
+	ck_assert_uint_eq(hold->wait_ms, 0);
+	ck_assert_uint_eq(hold->ends_read, 0);
+}
+END_TEST
+
 START_TEST(test_lower_priority_begins_whole)
 {
 	struct lease_submission first = fake_orders_submission(ID, 2);
@@ -835,8 +863,10 @@
 		test_probes_before_a_job_of_another_leader,
 		test_nothing_starts_after_the_deadline, test_young_leader_waits,
 		test_just_fenced_refuses_nothing, test_takeover_refuses_nothing,
-		test_silence_is_no_hung_task, test_hold_waits_as_long_as_a_task,
-		test_one_lost_hold, test_unanswered_start_is_looked_up,
+
+		test_probe_acknowledges_nothing, test_silence_is_no_hung_task,
+		test_hold_waits_as_long_as_a_task, test_one_lost_hold,
+		test_unanswered_start_is_looked_up,
 		test_slow_answers_are_not_looked_up, test_slow_start_goes_on,
 		test_jobs_handed_over_are_no_arrivals,
 		test_fenced_off_is_no_overload);
