core: a silence of 0.2 s refuses no job

A worker whose first hold, or whose last two, had no answer in 75 ms counted as lost at once in the forecast: with one worker of four left, a job was expected to end after 4.2 s, limit 3.06 s. Ruled out: a queue that was too long (27 tasks of 600 ms on 16 places), the caller's deadline (5 s). Change: a worker counts as capacity until it has been silent for 1 s. One that refuses the connection does not. Tasks start on it only once it answers. Before / after: test_short_silence_refuses_nothing, refused / admitted, and refused once the silence lasts.

--- a/packages/core/lease_dispatch_admission.c
+++ b/packages/core/lease_dispatch_admission.c
@@ -71,9 +71,9 @@
 }
 
 /*
- * Counts the processors of usable workers and finds the fastest one. Workers
- * whose first answer to this leader is still pending count, too, else a new
- * leader would refuse jobs.
+ * Counts the processors of workers and finds the fastest one. Workers that are
+ * not usable for a moment count, too: otherwise a new leader, or one whose calls
+ * are slow for 0.2 s, would refuse jobs that can be served.
  */
 static void count_workers(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
@@ -84,8 +84,7 @@
 		load->usable_milli = 0;
 	dispatch->fastest = 0;
 	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry) {
-		if (!pool_is_usable(worker, now_ms) &&
-		    !pool_awaits_first_answer(worker))
+		if (!pool_counts_as_capacity(worker, now_ms))
 			continue;
 		get_load(dispatch, worker->service)->usable_milli +=
 			worker->capacity.cpu_milli * worker->speed;
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -10,6 +10,8 @@
  * this process, so that unanswered starts are not probed.
  */
 #define LATE_TICK_MS 40
+/* A worker that is silent for longer is most likely lost or cut off. */
+#define SHORT_SILENCE_MS 1000
 /* Another leader stops runs that it does not know within this time. */
 #define FOREIGN_CLOSE_MS 2500
 
@@ -209,12 +211,27 @@
 	       worker->blocked_until_ms <= now_ms;
 }
 
-bool pool_awaits_first_answer(const struct pool_worker *worker)
+/* Returns true if the first hold of this leader has no result yet. */
+static bool awaits_first_answer(const struct pool_worker *worker)
 {
 	return worker->state == POOL_UNHELD && worker->registered &&
 	       !worker->draining && !worker->failures;
 }
 
+static bool is_silent_for_a_moment(const struct pool_worker *worker,
+				   uint64_t now_ms)
+{
+	return worker->state != POOL_FOREIGN && worker->registered &&
+	       !worker->draining && worker->failures && worker->silent_ms &&
+	       now_ms - worker->silent_ms < SHORT_SILENCE_MS;
+}
+
+bool pool_counts_as_capacity(const struct pool_worker *worker, uint64_t now_ms)
+{
+	return pool_is_usable(worker, now_ms) || awaits_first_answer(worker) ||
+	       is_silent_for_a_moment(worker, now_ms);
+}
+
 bool pool_fits(const struct pool_worker *worker,
 	       const struct step_job_demand *demand)
 {
@@ -275,7 +292,7 @@
 	const struct pool_worker *worker;
 
 	TAILQ_FOREACH(worker, &pool->workers, entry)
-		if (pool_awaits_first_answer(worker) ||
+		if (awaits_first_answer(worker) ||
 		    (worker->registered && worker->state == POOL_FOREIGN &&
 		     now_ms - worker->foreign_ms < POOL_FOREIGN_RETRY_MS))
 			return true;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -89,6 +89,7 @@
 	uint64_t clock_at_ms; /* on our clock */
 	uint64_t lease_until_ms; /* runs we started have ended by then */
 	uint32_t failures; /* unanswered holds in a row */
+	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
 	uint64_t retry_ms; /* no hold is sent before */
 	uint64_t answered_ms; /* time of the last answer to a hold */
 	uint64_t probed_ms; /* when the last answered hold was sent */
@@ -377,8 +378,11 @@
 /* Returns true if tasks may be started on the worker now. */
 bool pool_is_usable(const struct pool_worker *worker, uint64_t now_ms);
 
-/* Returns true if the first hold of this leader has no result yet. */
-bool pool_awaits_first_answer(const struct pool_worker *worker);
+/*
+ * Returns true if the worker is usable or most likely will be in a moment: its
+ * first answer to this leader is pending, or it has only just become silent.
+ */
+bool pool_counts_as_capacity(const struct pool_worker *worker, uint64_t now_ms);
 
 /* Returns true if a task fits into what open runs leave of the worker. */
 bool pool_fits(const struct pool_worker *worker,
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -367,6 +367,10 @@
 		wait_ms = MAX_RETRY_MS;
 	/* The first retry is immediate: the lease may lapse soon. */
 	worker->retry_ms = worker->failures ? now_ms + wait_ms : now_ms;
+	if (!worker->failures)
+		worker->silent_ms = now_ms;
+	if (answer == POOL_NOT_SENT)
+		worker->silent_ms = 0;
 	/* Nothing listens there: no task starts on it from now on. */
 	if (answer == POOL_NOT_SENT && worker->failures < POOL_LOST_HOLDS)
 		worker->failures = POOL_LOST_HOLDS - 1;
@@ -389,6 +393,8 @@
 	if (!worker || worker->state != POOL_HELD ||
 	    worker->failures >= POOL_LOST_HOLDS)
 		return;
+	if (!worker->failures)
+		worker->silent_ms = now_ms;
 	worker->failures = POOL_LOST_HOLDS;
 	worker->retry_ms = now_ms;
 }
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -636,6 +636,39 @@
 }
 END_TEST
 
+/*
+ * Workers that are silent for a moment, as on a machine that is busy for 0.2 s,
+ * count for admission; those that stay silent do not.
+ */
+START_TEST(test_short_silence_refuses_nothing)
+{
+	static const char *const silent[] = { "w2", "w3", "w4" };
+	struct lease_submission many = fake_orders_submission(ID, 40);
+	struct lease_submission job =
+		fake_orders_submission("00000000000000a2", 1);
+
+	fake_orders_add_worker(fake, "w1", 1000);
+	for (size_t i = 0; i < 3; i++)
+		fake_orders_add_worker(fake, silent[i], 16000);
+	lease_lead(fake->dispatch, 5, fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	for (size_t i = 0; i < 3; i++) {
+		fake_orders_lose_hold(fake, silent[i]);
+		fake_orders_lose_hold(fake, silent[i]);
+	}
+	fake_orders_submit(fake, &many);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->answer_count, 0);
+	for (size_t i = 0; i < 100; i++) {
+		fake_orders_advance(fake, 10);
+		for (size_t j = 0; j < 3; j++)
+			fake_orders_lose_hold(fake, silent[j]);
+	}
+	ck_assert_uint_gt(fake->answer_count, 0);
+	ck_assert_int_eq(fake->answers[0].reason, LEASE_OVERLOADED);
+}
+END_TEST
+
 /*
  * Jobs of an earlier leader come all at once; they do not count in the arrival
  * rate.
@@ -863,7 +896,7 @@
 		test_probes_before_a_job_of_another_leader,
 		test_nothing_starts_after_the_deadline, test_young_leader_waits,
 		test_just_fenced_refuses_nothing, test_takeover_refuses_nothing,
-
+		test_short_silence_refuses_nothing,
 		test_probe_acknowledges_nothing, test_silence_is_no_hung_task,
 		test_hold_waits_as_long_as_a_task, test_one_lost_hold,
 		test_unanswered_start_is_looked_up,
