core: after the loss of all instances nobody is waited for

The first instances are back at 12.71 s, a leader claims at 13.42: 400 ms in which a leader could be heard, 200 ms as a new candidate, 200 ms until the registrations are read. By then 2,000 jobs wait; the leader needs 0.5 s of its half core for them, and quotes are on time again only at 14.4. Ruled out: links (half are up at 12.95), the list of workers (0.1 s). Change: once most of the registered instances are linked and none knows of a leader, a candidate need not wait for one that might be there, and is new for 100 ms only. Registrations are read after 100 ms. While nobody leads the loop ticks every 20 ms. Beats of all members tell whether they know of a leader.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -21,6 +21,8 @@
  * become a candidate as late; its beat arrives within an idle loop's period.
  */
 #define CANDIDATE_WAIT_MS 200
+/* After a loss of all instances; several periods of a busy loop. */
+#define COLD_CANDIDATE_WAIT_MS 100
 #define CLAIM_WAIT_MS LEADER_BEAT_MS /* a leader's beat may be on its way */
 #define RANK_WAIT_MS 500 /* for each better candidate */
 /*
@@ -67,6 +69,7 @@
 	uint64_t leaderless_ms; /* since when nobody leads; 0: a member leads */
 	bool resigned; /* the last leader gave up its claim */
 	bool eligible; /* has a list of workers */
+	uint32_t registered; /* instances, this one included; 0: not known */
 	uint64_t candidate_ms; /* since when it may claim; 0: may not */
 	bool preferred; /* has had the list of workers for long */
 	bool stopping;
@@ -299,13 +302,14 @@
 		leadership->resigned = true;
 	if (!member->weight && beat->weight)
 		member->beat_due_ms = 0; /* the beat period becomes shorter */
-	if (beat->leaderless && leadership->candidate_ms &&
+	if (beat->leaderless && beat->weight && leadership->candidate_ms &&
 	    !leadership->leaderless_ms)
 		member->beat_due_ms = 0;
 	member->last_beat_ms = now_ms;
 	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
 	member->majority = beat->claim && beat->majority;
+	member->leaderless = beat->leaderless;
 	member->weight = beat->weight;
 	member->share = beat->share;
 	member->stopping = beat->stopping;
@@ -340,8 +344,7 @@
 	beat->clock_ms = now_ms;
 	beat->echo_ms = member->clock_ms;
 	beat->stopping = leadership->stopping;
-	beat->leaderless =
-		leadership->candidate_ms && leadership->leaderless_ms;
+	beat->leaderless = leadership->leaderless_ms != 0;
 	beat->majority = leads_majority(leadership, now_ms);
 }
 
@@ -369,6 +372,11 @@
 	leadership->eligible = eligible;
 }
 
+void leader_set_registered(struct leadership *leadership, uint32_t count)
+{
+	leadership->registered = count;
+}
+
 void leader_set_preferred(struct leadership *leadership, bool preferred)
 {
 	leadership->preferred = preferred;
@@ -491,18 +499,48 @@
 	return false;
 }
 
+/*
+ * Returns true if this instance has just started, most of the registered ones
+ * are linked, and none of them knows of a leader: all have lost power.
+ */
+static bool is_cold_start(const struct leadership *leadership, uint64_t now_ms)
+{
+	const struct leader_member *m;
+	uint32_t leaderless = 1;
+
+	if (!leadership->registered || leadership->leader ||
+	    now_ms - leadership->started_ms >= UNLINKED_START_WAIT_MS)
+		return false;
+	for (m = leadership->members; m; m = m->hh.next) {
+		if (!m->linked || !m->last_beat_ms)
+			continue;
+		if (!m->leaderless)
+			return false;
+		leaderless++;
+	}
+	return leaderless * 2 > leadership->registered;
+}
+
+static uint64_t start_wait_ms(const struct leadership *leadership,
+			      uint64_t now_ms)
+{
+	if (is_cold_start(leadership, now_ms))
+		return 0;
+	return has_received_beat(leadership) ? START_WAIT_MS
+					     : UNLINKED_START_WAIT_MS;
+}
+
 /*
  * Other candidates wait for a better one to claim. An instance that has just
  * started is no candidate, since it would not claim yet.
  */
 static void update_candidacy(struct leadership *leadership, uint64_t now_ms)
 {
-	uint64_t start_ms = has_received_beat(leadership)
-				    ? START_WAIT_MS
-				    : UNLINKED_START_WAIT_MS;
 	bool may = leadership->eligible && !leadership->stopping &&
 		   !leadership->overloaded_until_ms &&
-		   now_ms - leadership->started_ms >= start_ms;
+		   (leadership->candidate_ms ||
+		    now_ms - leadership->started_ms >=
+			    start_wait_ms(leadership, now_ms));
 
 	if (may == (leadership->candidate_ms != 0))
 		return;
@@ -514,12 +552,15 @@
 static bool may_claim(struct leadership *leadership, uint64_t now_ms)
 {
 	uint64_t wait_ms = leadership->resigned ? 0 : CLAIM_WAIT_MS;
+	uint64_t candidate_wait_ms = is_cold_start(leadership, now_ms)
+					     ? COLD_CANDIDATE_WAIT_MS
+					     : CANDIDATE_WAIT_MS;
 	uint64_t rank_ms =
 		(uint64_t)count_better_candidates(leadership, now_ms) *
 		RANK_WAIT_MS;
 
 	if (!leadership->candidate_ms ||
-	    now_ms - leadership->candidate_ms < CANDIDATE_WAIT_MS + rank_ms)
+	    now_ms - leadership->candidate_ms < candidate_wait_ms + rank_ms)
 		return false;
 	return now_ms - leadership->leaderless_ms >= wait_ms + rank_ms;
 }
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -56,6 +56,7 @@
 	uint64_t claim; /* 0: it does not claim to lead */
 	bool majority; /* it leads in touch with most members */
 	bool resigned; /* gave up its claim, as its last beat says */
+	bool leaderless; /* it knows of no leader */
 	uint32_t weight; /* 0: it may not claim */
 	uint32_t share; /* processor share in thousandths; 0: unknown */
 	bool stopping;
@@ -135,6 +136,13 @@
  */
 void leader_set_preferred(struct leadership *leadership, bool preferred);
 
+/*
+ * Sets the number of instances that are registered, this one included. Once
+ * most of them are linked and know of no leader, none is waited for: all have
+ * lost power, and callers wait. 0: not known.
+ */
+void leader_set_registered(struct leadership *leadership, uint32_t count);
+
 /* The process was paused: what it knew of the others is out of date. */
 void leader_note_pause(struct leadership *leadership);
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -19,8 +19,8 @@
 #define STANDBY_COUNT 3
 /* Ranks beyond STANDBY_COUNT at which a standby remains; avoids flapping. */
 #define STANDBY_HYSTERESIS 2
-/* Beats of other instances have arrived this long after the start. */
-#define STANDBY_WAIT_MS 200
+/* Beats of most other instances have arrived this long after the start. */
+#define STANDBY_WAIT_MS 100
 /*
  * A leader's next beat arrives within this time: its idle loop's period and the
  * network delay.
@@ -316,9 +316,18 @@
 	entry->text = talloc_strdup(entry, address);
 	HASH_ADD_KEYPTR(hh, lease_node->addresses, entry->text,
 			strlen(entry->text), entry);
+	if (lease_node->members_read)
+		lease_node_member_list_complete(lease_node);
 	lease_node->ports->dial(lease_node->ports->ctx, address);
 }
 
+void lease_node_member_list_complete(struct lease_node *lease_node)
+{
+	lease_node->members_read = true;
+	leader_set_registered(lease_node->members,
+			      HASH_COUNT(lease_node->addresses) + 1);
+}
+
 void lease_node_peer_up(struct lease_node *lease_node,
 			const Bergamot__Hello *hello, uint64_t now_ms)
 {
@@ -355,7 +364,8 @@
 
 bool lease_node_is_idle(const struct lease_node *lease_node)
 {
-	return !lease_node->jobs && !lease_load(lease_node->dispatch).jobs;
+	return !lease_node->jobs && !lease_load(lease_node->dispatch).jobs &&
+	       !lease_node->leaderless_ms;
 }
 
 uint32_t lease_node_count_open_jobs(const struct lease_node *lease_node)
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -149,6 +149,9 @@
 void lease_node_member_listed(struct lease_node *lease_node,
 			      const char *address);
 
+/* The whole list of registered instances was read. */
+void lease_node_member_list_complete(struct lease_node *lease_node);
+
 /* Handle the links to other instances and the messages over them. */
 void lease_node_peer_up(struct lease_node *lease_node,
 			const Bergamot__Hello *hello, uint64_t now_ms);
@@ -164,7 +167,10 @@
 bool lease_node_is_ready(const struct lease_node *lease_node);
 bool lease_node_leads(const struct lease_node *lease_node);
 
-/* Returns true if no jobs are open, here or at the dispatcher. */
+/*
+ * Returns true if no jobs are open, here or at the dispatcher, and a member
+ * leads.
+ */
 bool lease_node_is_idle(const struct lease_node *lease_node);
 
 struct lease_dispatch *lease_node_dispatch(struct lease_node *lease_node);
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -56,6 +56,7 @@
 	struct lease_relay *relay;
 	struct lease_node_job *jobs;
 	struct lease_node_address *addresses;
+	bool members_read; /* addresses has all registered instances */
 	struct lease_node_backlog *backlogs;
 	uint64_t claim; /* under which the dispatcher leads; 0: it does not */
 	uint64_t leader; /* incarnation, to which jobs are forwarded */
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -203,6 +203,85 @@
 }
 END_TEST
 
+static void restart_all(uint32_t registered)
+{
+	tear_down();
+	set_up();
+	for (int i = 0; i < COUNT; i++)
+		leader_set_registered(members[i], registered);
+}
+
+/*
+ * All instances have lost power and start again. A quote of 60 ms is of use for
+ * 468 ms, so that one leads within 300 ms once most are linked.
+ */
+START_TEST(test_cold_start)
+{
+	restart_all(COUNT);
+	link_all();
+	advance(300);
+	ck_assert_int_eq(count_leaders(), 1);
+}
+END_TEST
+
+/* The same where instances decide at the period of the idle loop. */
+START_TEST(test_cold_start_of_idle_loops)
+{
+	restart_all(COUNT);
+	link_all();
+	for (int tick = 0; tick < 30; tick++) {
+		now_ms += 100;
+		for (int i = 0; i < COUNT; i++)
+			leader_elect(members[i], now_ms, WALL_MS);
+		ck_assert_int_le(count_leaders(), 1);
+		for (int i = 0; i < COUNT; i++)
+			for (int j = 0; j < COUNT; j++)
+				if (i != j)
+					send_beat(i, j);
+	}
+	ck_assert_int_eq(count_leaders(), 1);
+}
+END_TEST
+
+/* Half of the registered instances are not linked: one of them may lead. */
+START_TEST(test_start_of_a_minority_waits)
+{
+	restart_all(COUNT * 2);
+	link_all();
+	advance(400);
+	ck_assert_int_eq(count_leaders(), 0);
+}
+END_TEST
+
+/* One instance starts again, and hears of a leader before it is linked to it.
+ */
+START_TEST(test_start_beside_a_leader_waits)
+{
+	struct leader_options newcomer = {
+		.incarnation = incarnation(0),
+		.address = "x",
+		.weight = 9000,
+	};
+
+	link_all();
+	leader_raise_claim(members[1], now_ms, WALL_MS);
+	advance(200);
+	for (int i = 1; i < COUNT; i++)
+		leader_link_down(members[i], incarnation(0), now_ms);
+	talloc_free(members[0]);
+	newcomer.now_ms = now_ms;
+	members[0] = leader_create(NULL, &newcomer);
+	leader_set_eligible(members[0], true);
+	leader_set_registered(members[0], COUNT);
+	for (int i = 2; i < COUNT; i++) {
+		link_up(0, i);
+		link_up(i, 0);
+	}
+	advance(400);
+	ck_assert_uint_eq(leader_claim(members[0]), 0);
+}
+END_TEST
+
 /*
  * An instance that has just started has the largest processor share, but does
  * not claim yet: the others do not wait for it when the leader resigns.
@@ -492,5 +571,7 @@
 		test_outranked_by_one_that_is_lost, test_claims_at_once,
 		test_partition_heals, test_stop, test_stop_keeps_entries_valid,
 		test_better_local_members, test_slow_leader_gives_up,
-		test_pause_is_not_slow, test_slow_leader_stays);
+		test_pause_is_not_slow, test_slow_leader_stays, test_cold_start,
+		test_cold_start_of_idle_loops, test_start_of_a_minority_waits,
+		test_start_beside_a_leader_waits);
 }
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -596,7 +596,7 @@
    */
   protobuf_c_boolean overloaded;
   /*
-   * The sender knows of no leader, and asks for a beat at once.
+   * The sender knows of no leader; if it may claim, it asks for a beat at once.
    */
   protobuf_c_boolean leaderless;
   /*
