base, adapters: the log's writer collects lines; links are found by hash

Cause: after all power is lost the leader's processor decides how long its backlog takes, some 50 us a task. Each log line woke the writer thread, which wrote it alone; each message to a peer walked up to 292 links.

--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -10,6 +10,7 @@
 #include "adapters/address.h"
 #include "adapters/messages.h"
 #include "base/counter.h"
+#include "base/hash_table.h"
 #include "base/log.h"
 #include "wire/frame.h"
 
@@ -45,10 +46,22 @@
 	size_t out_len;
 };
 
+/* A peer that has sent its Hello over one or more links. */
+struct peer {
+	UT_hash_handle hh;
+	uint64_t incarnation;
+	/*
+	 * The link to send on: the one whose Hello came first, so that messages
+	 * stay in order while a second one opens.
+	 */
+	struct link *first;
+};
+
 struct peers {
 	struct peers_options options;
 	struct tevent_context *ev;
 	LIST_HEAD(, link) links;
+	struct peer *by_incarnation;
 	unsigned link_count;
 	uint64_t hello_count;
 	int listen_fd;
@@ -104,11 +117,16 @@
 	mailbox_post_always(peers->options.control, &msg->head);
 }
 
-/*
- * Returns the link to send on. Of two links to a peer it is the one whose Hello
- * came first, so that messages stay in order while the second one opens.
- */
-static struct link *find_peer(struct peers *peers, uint64_t incarnation)
+static struct peer *find_peer(struct peers *peers, uint64_t incarnation)
+{
+	struct peer *peer;
+
+	HASH_FIND(hh, peers->by_incarnation, &incarnation, sizeof(incarnation),
+		  peer);
+	return peer;
+}
+
+static struct link *find_first_link(struct peers *peers, uint64_t incarnation)
 {
 	struct link *first = NULL;
 	struct link *link;
@@ -120,6 +138,31 @@
 	return first;
 }
 
+static void add_peer(struct link *link)
+{
+	struct peer *peer = talloc_zero(link->peers, struct peer);
+
+	peer->incarnation = link->incarnation;
+	peer->first = link;
+	HASH_ADD(hh, link->peers->by_incarnation, incarnation,
+		 sizeof(peer->incarnation), peer);
+}
+
+/* Returns the link that takes the place of a closed one; NULL if none is left.
+ */
+static struct link *replace_first_link(struct peers *peers,
+				       uint64_t incarnation)
+{
+	struct peer *peer = find_peer(peers, incarnation);
+
+	peer->first = find_first_link(peers, incarnation);
+	if (peer->first)
+		return peer->first;
+	HASH_DEL(peers->by_incarnation, peer);
+	talloc_free(peer);
+	return NULL;
+}
+
 /* Closing */
 
 /*
@@ -128,7 +171,7 @@
  */
 static void report_link_lost(struct peers *peers, uint64_t incarnation)
 {
-	struct link *other = find_peer(peers, incarnation);
+	struct link *other = replace_first_link(peers, incarnation);
 
 	post_down(peers, incarnation);
 	if (other)
@@ -251,7 +294,6 @@
 static bool receive_hello(struct link *link, Bergamot__Peer *peer)
 {
 	const Bergamot__Hello *hello = peer->hello;
-	bool is_up;
 
 	if (peer->body_case != BERGAMOT__PEER__BODY_HELLO ||
 	    !hello->incarnation ||
@@ -259,14 +301,15 @@
 		frame_free(peer);
 		return false;
 	}
-	is_up = find_peer(link->peers, hello->incarnation) != NULL;
 	link->incarnation = hello->incarnation;
 	link->hello_order = ++link->peers->hello_count;
 	link->hello = frame_pack(link, peer);
 	link->retry_ms = 0;
 	TALLOC_FREE(link->hello_timer);
-	if (!is_up)
+	if (!find_peer(link->peers, link->incarnation)) {
+		add_peer(link);
 		post_up(link);
+	}
 	frame_free(peer);
 	return true;
 }
@@ -479,16 +522,17 @@
 static void send_to(struct peers *peers, uint64_t incarnation,
 		    const uint8_t *frame)
 {
-	struct link *link = find_peer(peers, incarnation);
+	const struct peer *peer = find_peer(peers, incarnation);
 
-	if (link)
-		send_frame(link, frame, talloc_get_size(frame));
+	if (peer)
+		send_frame(peer->first, frame, talloc_get_size(frame));
 }
 
 static int destroy(struct peers *peers)
 {
 	struct link *link;
 
+	HASH_CLEAR(hh, peers->by_incarnation);
 	LIST_FOREACH(link, &peers->links, entry)
 		if (link->fd >= 0) {
 			TALLOC_FREE(link->fde);
--- a/packages/base/line_sink.c
+++ b/packages/base/line_sink.c
@@ -10,6 +10,11 @@
 #include "base/counter.h"
 
 #define CLOSE_TIMEOUT_MS 1000 /* wait for a writer whose file blocks */
+/*
+ * The writer collects lines for this long: waking it for each line costs more
+ * than the line.
+ */
+#define COLLECT_MS 20
 
 struct line {
 	STAILQ_ENTRY(line) entry;
@@ -20,8 +25,8 @@
 
 struct line_sink {
 	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	pthread_cond_t writer_end; /* uses the monotonic clock */
+	pthread_cond_t wake; /* both use the monotonic clock */
+	pthread_cond_t writer_end;
 	bool writer_ended;
 	bool abandoned; /* the writer frees the sink when it ends */
 	pthread_t writer;
@@ -55,6 +60,38 @@
 	free(sink);
 }
 
+static struct timespec monotonic_time_in(unsigned ms)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	at.tv_sec += ms / 1000;
+	at.tv_nsec += (long)(ms % 1000) * 1000000;
+	if (at.tv_nsec >= 1000000000) {
+		at.tv_nsec -= 1000000000;
+		at.tv_sec++;
+	}
+	return at;
+}
+
+static bool is_half_full(const struct line_sink *sink)
+{
+	return sink->depth * 2 >= sink->limit;
+}
+
+/* Waits for a first line, and then for more, with the lock held. */
+static void wait_for_lines(struct line_sink *sink)
+{
+	struct timespec until;
+	int err = 0;
+
+	while (!sink->depth && !sink->closing)
+		pthread_cond_wait(&sink->wake, &sink->lock);
+	until = monotonic_time_in(COLLECT_MS);
+	while (!err && !sink->closing && !is_half_full(sink))
+		err = pthread_cond_timedwait(&sink->wake, &sink->lock, &until);
+}
+
 static void *run_writer(void *arg)
 {
 	struct line_sink *sink = arg;
@@ -64,8 +101,7 @@
 
 	while (!closing) {
 		pthread_mutex_lock(&sink->lock);
-		while (!sink->depth && !sink->closing)
-			pthread_cond_wait(&sink->wake, &sink->lock);
+		wait_for_lines(sink);
 		STAILQ_CONCAT(&batch, &sink->queue);
 		sink->depth = 0;
 		closing = sink->closing;
@@ -102,9 +138,9 @@
 	if (!sink)
 		abort();
 	pthread_mutex_init(&sink->lock, NULL);
-	pthread_cond_init(&sink->wake, NULL);
 	pthread_condattr_init(&monotonic);
 	pthread_condattr_setclock(&monotonic, CLOCK_MONOTONIC);
+	pthread_cond_init(&sink->wake, &monotonic);
 	pthread_cond_init(&sink->writer_end, &monotonic);
 	pthread_condattr_destroy(&monotonic);
 	STAILQ_INIT(&sink->queue);
@@ -132,7 +168,7 @@
 	full = sink->depth >= sink->limit;
 	if (!full) {
 		STAILQ_INSERT_TAIL(&sink->queue, line, entry);
-		if (!sink->depth++)
+		if (!sink->depth++ || is_half_full(sink))
 			pthread_cond_signal(&sink->wake);
 	}
 	pthread_mutex_unlock(&sink->lock);
@@ -146,11 +182,9 @@
 /* Waits for the writer to end; false when the wait timed out. */
 static bool wait_for_writer(struct line_sink *sink)
 {
-	struct timespec until;
+	struct timespec until = monotonic_time_in(CLOSE_TIMEOUT_MS);
 	int err = 0;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += CLOSE_TIMEOUT_MS / 1000;
 	while (!sink->writer_ended && !err)
 		err = pthread_cond_timedwait(&sink->writer_end, &sink->lock,
 					     &until);
