core: a job that is useless before anybody leads is refused at its entry

Cause: of 2,000 jobs that a new leader got after all power was lost, 766 waited there to be refused as too late, 0.5 to 0.9 s after they had come. Change: while nobody leads, an entry refuses a job once it would end after three times its objective even if it started now: the leader's own rule, applied where the job waits. A job that a lost leader has had is not refused. Before / after: test_useless_jobs_are_refused_at_once failed first.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -864,7 +864,7 @@
 
 /*
  * Returns true if no task has begun and the job would end later than
- * MAX_OBJECTIVE_FACTOR times its objective.
+ * LEASE_MAX_OBJECTIVE_FACTOR times its objective.
  */
 static bool is_too_late(const struct lease_dispatch *dispatch,
 			const struct lease_job *job)
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -22,6 +22,9 @@
 struct lease_dispatch;
 struct lease_job;
 
+/* An answer later than this multiple of the objective is useless to callers. */
+#define LEASE_MAX_OBJECTIVE_FACTOR 3
+
 enum lease_end {
 	LEASE_COMPLETED,
 	LEASE_FAILED,
--- a/packages/core/lease_dispatch_admission.c
+++ b/packages/core/lease_dispatch_admission.c
@@ -34,8 +34,10 @@
 		job->lateness = 0;
 	else
 		job->lateness =
-			ends_ms <= job->objective_ms * MAX_OBJECTIVE_FACTOR ? 1
-									    : 2;
+			ends_ms <= job->objective_ms *
+						LEASE_MAX_OBJECTIVE_FACTOR
+				? 1
+				: 2;
 }
 
 /* Load of a service */
@@ -72,8 +74,8 @@
 
 /*
  * Counts the processors of workers and finds the fastest one. Workers that are
- * not usable for a moment count, too: otherwise a new leader, or one whose calls
- * are slow for 0.2 s, would refuse jobs that can be served.
+ * not usable for a moment count, too: otherwise a new leader, or one whose
+ * calls are slow for 0.2 s, would refuse jobs that can be served.
  */
 static void count_workers(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
@@ -174,7 +176,7 @@
 					const struct lease_submission *from,
 					uint64_t *retry_ms, uint64_t now_ms)
 {
-	uint64_t latest_ms = from->objective_ms * MAX_OBJECTIVE_FACTOR;
+	uint64_t latest_ms = from->objective_ms * LEASE_MAX_OBJECTIVE_FACTOR;
 	struct service_load *load = get_load(dispatch, from->service);
 	uint64_t ends_ms;
 	uint64_t own_ms = from->age_ms + longest_estimate(from);
@@ -212,7 +214,7 @@
 
 static uint64_t latest_end_ms(const struct lease_job *job)
 {
-	uint64_t useful_ms = job->objective_ms * MAX_OBJECTIVE_FACTOR;
+	uint64_t useful_ms = job->objective_ms * LEASE_MAX_OBJECTIVE_FACTOR;
 	uint64_t caller_ms = job->deadline_ms - job->received_ms;
 
 	return useful_ms < caller_ms ? useful_ms : caller_ms;
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -12,8 +12,6 @@
  * refuses them.
  */
 
-/* An answer later than this multiple of the objective is useless to callers. */
-#define MAX_OBJECTIVE_FACTOR 3
 #define RETRY_SPREAD_MS 1000 /* random part that keeps retries apart */
 
 enum task_state { TASK_WAITING, TASK_RUNNING, TASK_DONE };
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -206,12 +206,14 @@
 	uint32_t count = 0;
 
 	HASH_ITER(hh, lease_node->jobs, job, next) {
-		if (job->sent_to && job->sent_to == lease_node->leader)
+		uint64_t former = job->sent_to;
+
+		if (former && former == lease_node->leader)
 			continue;
-		if (job->sent_to)
+		if (former)
 			take_back_job(lease_node, job, now_ms);
-		count++;
 		send_to_leader(lease_node, job, now_ms);
+		count += former || lease_node->leader;
 	}
 	if (count)
 		log_info(LOG_CALLER,
@@ -284,6 +286,21 @@
 		      answer->retry_after_ms);
 }
 
+/*
+ * Returns true if a job that no leader has had would end too late to be of use,
+ * even if it started now. The next leader would refuse it, after all of the
+ * backlog before it.
+ */
+static bool is_too_late(const struct lease_node *lease_node,
+			const struct lease_node_job *job, uint64_t now_ms)
+{
+	uint64_t ends_ms =
+		now_ms - job->received_ms + step_job_longest_chain_ms(job->job);
+
+	return lease_node->options.admission && !job->sent_to && !job->handed &&
+	       ends_ms > job->objective_ms * LEASE_MAX_OBJECTIVE_FACTOR;
+}
+
 void lease_node_expire_jobs(struct lease_node *lease_node, uint64_t now_ms)
 {
 	struct lease_node_job *job, *next;
@@ -291,6 +308,8 @@
 	HASH_ITER(hh, lease_node->jobs, job, next) {
 		if (now_ms >= job->deadline_ms + ANSWER_GRACE_MS)
 			end_job(lease_node, job, LEASE_DEADLINE, now_ms);
+		else if (is_too_late(lease_node, job, now_ms))
+			end_job(lease_node, job, LEASE_NO_LEADER, now_ms);
 		else if (!job->sent_to && lease_node->leaderless_ms &&
 			 now_ms - lease_node->leaderless_ms > MAX_LEADERLESS_MS)
 			end_job(lease_node, job, LEASE_NO_LEADER, now_ms);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -61,8 +61,8 @@
 
 /*
  * A worker that has restarted numbers its ends anew: acknowledging our number
- * would drop ends that nobody has read. So only a hold that follows an answer at
- * once acknowledges ends.
+ * would drop ends that nobody has read. So only a hold that follows an answer
+ * at once acknowledges ends.
  */
 static uint64_t ends_to_acknowledge(const struct pool_worker *worker,
 				    uint64_t now_ms)
--- /dev/null
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -0,0 +1,151 @@
+/*
+ * Callers' jobs while nobody leads: after all instances have lost power, the
+ * arrivals of some 0.5 s wait for a leader, which then serves those that can
+ * still be of use. A job that cannot is refused at once, truthfully as not run.
+ */
+#include <string.h>
+
+#include "base/tests/run_suite.h"
+#include "core/lease_node.h"
+
+#define OWN_INCARNATION 4000
+#define LEADER 7
+#define SHORT_MS 60 /* objective 156 ms, of use for 468 ms */
+#define LONG_MS 900
+#define TICK_MS 20
+
+static const struct queue_config_queue queue = {
+	.name = "q",
+	.service = "s",
+	.attempts = 2,
+	.stretch = 1.6,
+	.objective_ms = 60,
+};
+
+static struct lease_node *node;
+static struct lease_node_ports ports;
+static struct lease_node_answer answers[4]; /* by number of the request */
+static bool answered[4];
+static uint64_t now_ms;
+
+static void port_answer(void *ctx, const struct lease_node_answer *answer)
+{
+	(void)ctx;
+	answers[answer->request] = *answer;
+	answered[answer->request] = true;
+}
+
+static void port_send(void *ctx, uint64_t incarnation,
+		      const Bergamot__Peer *msg)
+{
+	(void)ctx;
+	(void)incarnation;
+	(void)msg;
+}
+
+static uint64_t port_wall_ms(void *ctx)
+{
+	(void)ctx;
+	return UINT64_C(1790000000000);
+}
+
+static void port_none(void *ctx)
+{
+	(void)ctx;
+}
+
+static void set_up(void)
+{
+	struct lease_node_options options = {
+		.ports = &ports,
+		.instance = "own",
+		.data_centre = "d",
+		.address = "own",
+		.incarnation = OWN_INCARNATION,
+		.order = lease_find_order("late_last"),
+		.place = place_find("fastest"),
+		.weight = 250,
+		.admission = true,
+		.now_ms = 1000,
+	};
+
+	now_ms = 1000;
+	memset(answered, 0, sizeof(answered));
+	ports = (struct lease_node_ports){
+		.answer = port_answer,
+		.send = port_send,
+		.wall_ms = port_wall_ms,
+		.wake = port_none,
+	};
+	node = lease_node_create(NULL, &options);
+}
+
+static void tear_down(void)
+{
+	talloc_free(node);
+}
+
+static void submit(uint64_t request, uint32_t estimate_ms)
+{
+	struct step_job *job = talloc_zero(NULL, struct step_job);
+
+	memset(job->id, 'a' + (int)request, STEP_JOB_ID_DIGITS);
+	job->text = talloc_strdup(job, "t");
+	job->step_count = 1;
+	job->steps = talloc_zero_array(job, struct job_step, 1);
+	job->steps[0].count = 1;
+	job->steps[0].estimate_ms = estimate_ms;
+	lease_node_submit(node, request, &queue, job, 5000, now_ms);
+}
+
+static void advance(uint64_t ms)
+{
+	for (uint64_t t = 0; t < ms; t += TICK_MS) {
+		now_ms += TICK_MS;
+		lease_node_tick(node, now_ms);
+	}
+}
+
+START_TEST(test_useless_jobs_are_refused_at_once)
+{
+	submit(1, SHORT_MS);
+	submit(2, LONG_MS);
+	advance(400); /* it would end after 460 ms */
+	ck_assert(!answered[1]);
+	advance(2 * TICK_MS);
+	ck_assert(answered[1]);
+	ck_assert_int_eq(answers[1].end, LEASE_REFUSED);
+	ck_assert_int_eq(answers[1].reason, LEASE_NO_LEADER);
+	ck_assert_uint_gt(answers[1].retry_after_ms, 0);
+	ck_assert(!answered[2]);
+}
+END_TEST
+
+/* A job that a lost leader has had may have run: it is not refused. */
+START_TEST(test_job_of_a_lost_leader_waits)
+{
+	Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	hello.incarnation = LEADER;
+	hello.instance = hello.address = "leader";
+	lease_node_peer_up(node, &hello, now_ms);
+	beat.claim = 5;
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	lease_node_peer_message(node, LEADER, &peer, now_ms);
+	advance(TICK_MS);
+	submit(1, SHORT_MS);
+	lease_node_peer_down(node, LEADER, now_ms);
+	advance(600);
+	ck_assert(!answered[1]);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("lease_node_entry", set_up, tear_down,
+			test_useless_jobs_are_refused_at_once,
+			test_job_of_a_lost_leader_waits);
+}
