--- a/tests/system/leased_standins.py
+++ b/tests/system/leased_standins.py
@@ -82,6 +82,7 @@
         self.down = False
         self.fault = None
         self.max_events = 300  # in one answer to a watch
+        self.watches = {}  # number of watches, by prefix
         super().__init__(port)
 
     def put(self, key, value, lease=0):
@@ -139,6 +140,8 @@
             request.reply(200, {"ttl_ms": 8000})
 
     def watch(self, request, query):
+        prefix = query["prefix"]
+        self.watches[prefix] = self.watches.get(prefix, 0) + 1
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
 
--- a/tests/system/test_leased.py
+++ b/tests/system/test_leased.py
@@ -337,6 +337,17 @@
         self.assertEqual(self.instances[0].call("POST", "/q/" + "1" * 16,
                                                 job())[0], 200)
 
+    def test_many_instances_start(self):
+        """Instances that register one after the other cost each instance a
+        few watches, not one for each."""
+        before = self.store.watches["members/"]
+        for i in range(60):
+            self.store.put(f"members/{i:016x}",
+                           f"127.0.0.1:{self.instances[0].peers}")
+            time.sleep(0.05)
+        self.assertLessEqual(self.store.watches["members/"] - before,
+                             INSTANCES * 5)
+
     def test_draining_among_many_changes(self):
         """A leaving worker gets no start after 2 s, even when so many other
         registrations change that one answer to a watch cannot hold all."""
