--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -170,7 +170,10 @@
 		return; /* registration of an earlier process */
 	else if (registration->born_ms > worker->born_ms)
 		pool_reset_worker(pool, worker, now_ms);
-	if (!worker->registered || worker->draining != registration->draining)
+	/* pool_note_list_read reports a list that is read for the first time.
+	 */
+	if (pool->list_read_ms &&
+	    (!worker->registered || worker->draining != registration->draining))
 		log_info(LOG_TARGET,
 			 "worker %s at %s: registered for service %s, %s, %u "
 			 "milli cores, started at %" PRIu64 " ms",
@@ -245,8 +248,19 @@
 
 void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms)
 {
-	if (!pool->list_read_ms)
-		pool->list_read_ms = now_ms;
+	const struct pool_worker *worker;
+	uint32_t registered = 0, draining = 0;
+
+	if (pool->list_read_ms)
+		return;
+	pool->list_read_ms = now_ms;
+	TAILQ_FOREACH(worker, &pool->workers, entry) {
+		registered += worker->registered;
+		draining += worker->registered && worker->draining;
+	}
+	log_info(LOG_TARGET,
+		 "list of workers read: %u registered, %u of them draining",
+		 registered, draining);
 }
 
 void pool_note_list_dropped(struct lease_pool *pool)
