core, tests: switches that disable what keeps other operators' faults away

Cause: the six faults that other operators met had a mechanism and a test each on the leased path, but nothing showed that the test fails without it.

--- a/packages/adapters/http_server.c
+++ b/packages/adapters/http_server.c
@@ -565,6 +565,10 @@
 	server->quiesced_fd = MHD_quiesce_daemon(server->daemon);
 	if (server->quiesced_fd < 0)
 		return;
+#ifdef BREAK_QUIESCE
+	close_quiesced(NULL, NULL, tevent_timeval_zero(), server);
+	return;
+#endif
 	drop_new_connections(server->quiesced_fd);
 	drain_queue(server);
 	tevent_add_timer(server->options.ev, server,
--- a/packages/adapters/tests/test_http_server.c
+++ b/packages/adapters/tests/test_http_server.c
@@ -280,10 +280,10 @@
 		talloc_free(f->server);
 		f->server = http_server_create(f, &options);
 		for (int i = 0; i < QUIESCE_CALLERS; i++) {
-			address_parse(&callers[i].address,
-				      talloc_asprintf(
-					      f, "127.0.0.1:%d",
-					      http_server_port(f->server)));
+			address_parse(
+				&callers[i].address,
+				talloc_asprintf(f, "127.0.0.1:%d",
+						http_server_port(f->server)));
 			pthread_create(&threads[i], NULL, call_until_refused,
 				       &callers[i]);
 		}
--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -508,6 +508,9 @@
 	const struct leader_member *m;
 	uint32_t leaderless = 1;
 
+#ifdef BREAK_COLD_START
+	return true;
+#endif
 	if (!leadership->registered || leadership->leader ||
 	    now_ms - leadership->started_ms >= UNLINKED_START_WAIT_MS)
 		return false;
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -531,6 +531,9 @@
 		if (!LIST_EMPTY(&job->waiters))
 			continue;
 		job->abandon_at_ms = now_ms + LEASE_ABANDON_MS;
+#ifdef BREAK_ABANDON
+		job->abandon_at_ms = now_ms;
+#endif
 		count++;
 	}
 	if (count)
@@ -567,6 +570,9 @@
 			const struct lease_job *job, uint64_t *held_since_ms,
 			uint64_t now_ms)
 {
+#ifdef BREAK_DEFER
+	return false;
+#endif
 	if (now_ms >= job->earlier_runs_over_ms)
 		return false;
 	if (*held_since_ms == HELD_UNKNOWN)
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -44,7 +44,9 @@
 			    gap_ms, HOLD_BACK_MS);
 		counter_add(COUNTER_PAUSES, 1);
 		leader_note_pause(lease_node->members);
+#ifndef BREAK_HOLD_BACK
 		lease_defer_starts(lease_node->dispatch, now_ms + HOLD_BACK_MS);
+#endif
 	}
 	lease_node->active_ms = now_ms;
 }
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -67,6 +67,9 @@
 static uint64_t ends_to_acknowledge(const struct pool_worker *worker,
 				    uint64_t now_ms)
 {
+#ifdef BREAK_PROBE_ACK
+	return worker->ends_read;
+#endif
 	return worker->state == POOL_HELD && !worker->failures &&
 			       worker->answered_ms == now_ms
 		       ? worker->ends_read
@@ -260,6 +263,9 @@
 	struct found_end *end;
 	struct found_job *found;
 
+#ifdef BREAK_KEEP_END
+	return;
+#endif
 	HASH_FIND_STR(pool->found, job, found);
 	if (!found) {
 		found = talloc_zero(pool, struct found_job);
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -187,7 +187,10 @@
 
 	for (; run; run = next) {
 		next = LIST_NEXT(run, in_worker);
-		if (run->answered_ms) {
+#ifndef BREAK_RESTART
+		if (run->answered_ms)
+#endif
+		{
 			pool_close_run(pool, run, POOL_LAPSED, now_ms);
 			continue;
 		}
