core: damaged messages of other instances are refused

Change: a peer's job is checked like a caller's and refused as never fitting; a relay refuses an order that it cannot carry out, and says that nothing was sent; a beat with an impossible claim is dropped. Each with a log line. Ruled out: messages of the owner-bound path, which fuzz_core sends.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -35,6 +35,7 @@
  * Low bits of a claim, which with the milliseconds since 1970 stays below 2^53.
  */
 #define CLAIM_OWNER_BITS 11
+#define MAX_CLAIM ((UINT64_C(1) << 53) - 1)
 #define PREFERRED_WEIGHT 1000000 /* above all processor shares */
 /*
  * A start call times out after 75 ms, and short tasks have some 60 ms to spare.
@@ -288,6 +289,15 @@
 
 	if (!member)
 		return;
+	/* No claim could go above it. */
+	if (beat->claim > MAX_CLAIM || beat->highest_claim > MAX_CLAIM) {
+		log_warning(LOG_MEMBER,
+			    "dropped a beat of member %s: claim %" PRIu64
+			    ", highest claim %" PRIu64 ", limit %" PRIu64,
+			    member->instance, beat->claim, beat->highest_claim,
+			    MAX_CLAIM);
+		return;
+	}
 	member->resigned = member->claim && !beat->claim;
 	if (member->claim != beat->claim) {
 		/* The beat period changes, and may now be shorter. */
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -9,6 +9,10 @@
 
 #define MAX_CONFIG_BYTES (4u << 20) /* of a document as text */
 #define MAX_BACKLOGS 256
+/* Limits of a job from an entry, which has applied the limits of its settings.
+ */
+#define MAX_JOB_TASKS 100000
+#define MAX_HANDED 10000 /* earlier leaders; bounds run numbers */
 /* Members that reach the store have read a new configuration by then. */
 #define OFFER_WAIT_MS 300
 #define OFFER_SPREAD_MS 2000
@@ -308,6 +312,26 @@
 	step->after_count = (uint32_t)from->n_after;
 }
 
+/* Returns NULL, or why a peer's job must not reach the dispatcher. */
+static const char *find_fault(const Bergamot__QueueJob *msg,
+			      const struct lease_submission *submission)
+{
+	struct step_job job = {
+		.text = (char *)submission->text,
+		.steps = (struct job_step *)submission->steps,
+		.step_count = submission->step_count,
+	};
+	const char *message = NULL;
+
+	if (!step_job_is_id(msg->id, strlen(msg->id)))
+		return "the id is not 16 hexadecimal digits";
+	if (msg->handed > MAX_HANDED)
+		return "too many earlier leaders";
+	memcpy(job.id, msg->id, sizeof(job.id));
+	step_job_check(&job, MAX_JOB_TASKS, &message);
+	return message;
+}
+
 static void on_job(struct lease_node *lease_node, uint64_t from,
 		   const Bergamot__QueueJob *msg, uint64_t now_ms)
 {
@@ -338,10 +362,18 @@
 		.reason = LEASE_NO_LEADER,
 		.retry_after_ms = 0,
 	};
+	const char *fault;
 
 	for (size_t i = 0; i < msg->n_steps; i++)
 		unpack_step(&steps[i], msg->steps[i]);
-	if (lease_node->claim) {
+	fault = find_fault(msg, &submission);
+	if (fault) {
+		log_warning(LOG_PEER,
+			    "refused a job of member %016" PRIx64 ": %s", from,
+			    fault);
+		refusal.reason = LEASE_NEVER_FITS;
+		lease_node_on_answer(lease_node, &refusal);
+	} else if (lease_node->claim) {
 		lease_submit(lease_node->dispatch, &submission, now_ms);
 		lease_node_schedule_run(lease_node);
 	} else {
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -30,6 +30,9 @@
 #define SILENT_FACTOR 2
 #define MIN_SILENCE_MS 40
 #define SILENT_RETRY_MS 3000 /* until a silent relay is used again */
+/* Limits of what another instance may order. */
+#define MAX_RELAYED_CALLS 8192 /* open at the same time */
+#define MAX_ORDER_TIMEOUT_MS 5000
 #define LATE_TICK_MS 40 /* after a longer gap, answers may not be read yet */
 /*
  * A worker whose route is unused for this long is no longer registered:
@@ -494,6 +497,8 @@
 		running[i].task = from->running[i]->task;
 		running[i].number = from->running[i]->run;
 		running[i].percent = from->running[i]->percent;
+		if (running[i].percent > 100)
+			running[i].percent = 100;
 	}
 	for (size_t i = 0; i < from->n_ended; i++) {
 		ended[i].number_of_end = from->ended[i]->number;
@@ -725,6 +730,40 @@
 	return relayed_call;
 }
 
+/* Returns NULL, or why an order is not carried out. */
+static const char *find_fault(const struct lease_relay *lease_relay,
+			      const Bergamot__WorkerOrder *order)
+{
+	bool is_hold = order->call == BERGAMOT__WORKER_CALL__HOLD;
+
+	if (!is_hold && order->call != BERGAMOT__WORKER_CALL__START &&
+	    order->call != BERGAMOT__WORKER_CALL__STOP)
+		return "unknown kind of call";
+	if (!*order->worker || !*order->address || (!is_hold && !*order->task))
+		return "a name is missing";
+	if (order->timeout_ms > MAX_ORDER_TIMEOUT_MS ||
+	    order->wait_ms > MAX_ORDER_TIMEOUT_MS)
+		return "its timeout is too long";
+	if (HASH_COUNT(lease_relay->relayed_calls) >= MAX_RELAYED_CALLS)
+		return "too many calls are open";
+	return NULL;
+}
+
+/* Tells the leader that nothing was sent to the worker. */
+static void refuse_order(struct lease_relay *lease_relay, uint64_t leader,
+			 const Bergamot__WorkerOrder *order, const char *fault)
+{
+	Bergamot__WorkerAnswer *answer = add_answer(lease_relay, leader);
+
+	log_warning(LOG_TARGET,
+		    "refused an order of member %016" PRIx64
+		    " for worker %s: %s",
+		    leader, order->worker, fault);
+	answer->call = order->call;
+	answer->number = order->number;
+	answer->answer = POOL_UNHEALTHY;
+}
+
 static void make_relayed_call(struct lease_relay *lease_relay, uint64_t leader,
 			      const Bergamot__WorkerOrder *order)
 {
@@ -779,8 +818,15 @@
 void relay_receive_orders(struct lease_relay *lease_relay, uint64_t from,
 			  const Bergamot__WorkerOrders *msg)
 {
-	for (size_t i = 0; i < msg->n_orders; i++)
-		make_relayed_call(lease_relay, from, msg->orders[i]);
+	for (size_t i = 0; i < msg->n_orders; i++) {
+		const Bergamot__WorkerOrder *order = msg->orders[i];
+		const char *fault = find_fault(lease_relay, order);
+
+		if (fault)
+			refuse_order(lease_relay, from, order, fault);
+		else
+			make_relayed_call(lease_relay, from, order);
+	}
 }
 
 /*
--- a/packages/core/tests/test_leader_member.c
+++ b/packages/core/tests/test_leader_member.c
@@ -203,6 +203,20 @@
 }
 END_TEST
 
+/* A damaged beat must not carry a claim above which nobody can claim. */
+START_TEST(test_impossible_claim_is_dropped)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+
+	link_all();
+	beat.highest_claim = UINT64_MAX;
+	leader_receive_beat(members[0], incarnation(1), &beat, now_ms);
+	leader_raise_claim(members[0], now_ms, WALL_MS);
+	ck_assert_uint_lt(leader_claim(members[0]), UINT64_C(1) << 53);
+	ck_assert_uint_gt(leader_claim(members[0]), WALL_MS);
+}
+END_TEST
+
 static void restart_all(uint32_t registered)
 {
 	tear_down();
@@ -573,5 +587,6 @@
 		test_better_local_members, test_slow_leader_gives_up,
 		test_pause_is_not_slow, test_slow_leader_stays, test_cold_start,
 		test_cold_start_of_idle_loops, test_start_of_a_minority_waits,
-		test_start_beside_a_leader_waits);
+		test_start_beside_a_leader_waits,
+		test_impossible_claim_is_dropped);
 }
--- a/packages/core/tests/test_lease_node_peer.c
+++ b/packages/core/tests/test_lease_node_peer.c
@@ -1,7 +1,7 @@
 /*
- * The configuration between instances: at 147 instances, all of which read a
- * new version at about the same time, each sending it to all others filled
- * their links for seconds.
+ * Messages between instances. The configuration: at 147 instances, all of which
+ * read a new version at about the same time, each sending it to all others
+ * filled their links for seconds. Jobs: a damaged one ends no process.
  */
 #include <stdio.h>
 #include <string.h>
@@ -16,6 +16,7 @@
 static struct lease_node_ports ports;
 static uint32_t offers[MEMBERS + 1]; /* by the receiver's incarnation */
 static uint32_t dials;
+static uint32_t refusals; /* ends of jobs that never fit */
 static uint64_t now_ms;
 
 static void port_send(void *ctx, uint64_t incarnation,
@@ -24,6 +25,9 @@
 	(void)ctx;
 	if (msg->body_case == BERGAMOT__PEER__BODY_CONFIG_OFFER)
 		offers[incarnation]++;
+	if (msg->body_case == BERGAMOT__PEER__BODY_QUEUE_JOB_END)
+		refusals += msg->queue_job_end->end == LEASE_REFUSED &&
+			    msg->queue_job_end->reason == LEASE_NEVER_FITS;
 }
 
 static struct queue_config *port_parse(void *ctx, TALLOC_CTX *mem,
@@ -83,6 +87,7 @@
 
 	now_ms = 1000;
 	memset(offers, 0, sizeof(offers));
+	refusals = 0;
 	ports = (struct lease_node_ports){
 		.send = port_send,
 		.dial = port_dial,
@@ -171,11 +176,51 @@
 }
 END_TEST
 
+/* fuzz_lease found the first two: 2^32 tasks, and a step that does not exist.
+ */
+START_TEST(test_damaged_job_is_refused)
+{
+	static const struct {
+		const char *id;
+		uint32_t count, after, handed;
+	} damages[] = {
+		{ "00000000000000a1", UINT32_MAX, 0, 0 },
+		{ "00000000000000a1", 1, 7, 0 },
+		{ "x", 1, 0, 0 },
+		{ "00000000000000a1", 1, 0, UINT32_MAX },
+	};
+	Bergamot__JobStep steps[2] = { BERGAMOT__JOB_STEP__INIT,
+				       BERGAMOT__JOB_STEP__INIT };
+	Bergamot__JobStep *rows[2] = { &steps[0], &steps[1] };
+	Bergamot__QueueJob job = BERGAMOT__QUEUE_JOB__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+	uint32_t after;
+
+	job.queue = job.service = "s";
+	job.remaining_ms = 1000;
+	job.n_steps = 2;
+	job.steps = rows;
+	steps[1].count = 1;
+	steps[1].after = &after;
+	steps[1].n_after = 1;
+	peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB;
+	peer.queue_job = &job;
+	for (uint32_t i = 0; i < sizeof(damages) / sizeof(damages[0]); i++) {
+		job.id = (char *)damages[i].id;
+		job.handed = damages[i].handed;
+		steps[0].count = damages[i].count;
+		after = damages[i].after;
+		lease_node_peer_message(node, 1, &peer, now_ms);
+		ck_assert_uint_eq(refusals, i + 1);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	return RUN_CASE("lease_node_peer", set_up, tear_down,
-			test_all_members_are_dialled,
-			test_new_version_is_not_broadcast,
-			test_member_that_stays_behind_gets_it,
-			test_new_member_is_given_time);
+	return RUN_CASE(
+		"lease_node_peer", set_up, tear_down,
+		test_all_members_are_dialled, test_new_version_is_not_broadcast,
+		test_member_that_stays_behind_gets_it,
+		test_new_member_is_given_time, test_damaged_job_is_refused);
 }
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -280,6 +280,34 @@
 }
 END_TEST
 
+/* A relay tells the leader that it has not carried out a damaged order. */
+START_TEST(test_damaged_order_is_refused)
+{
+	Bergamot__WorkerOrder order = BERGAMOT__WORKER_ORDER__INIT;
+	Bergamot__WorkerOrder *rows = &order;
+	Bergamot__WorkerOrders orders = BERGAMOT__WORKER_ORDERS__INIT;
+	Bergamot__Peer *sent;
+
+	order.call = BERGAMOT__WORKER_CALL__HOLD;
+	order.number = 7;
+	order.worker = "w1";
+	order.address = "x";
+	order.timeout_ms = UINT32_MAX;
+	orders.orders = &rows;
+	orders.n_orders = 1;
+	relay_receive_orders(relay.lease_relay, LEADER, &orders);
+	relay_flush(relay.lease_relay);
+	ck_assert_uint_eq(relay.calls, 0);
+	ck_assert_uint_eq(relay.sent_to, LEADER);
+	sent = bergamot__peer__unpack(NULL, relay.sent_len, relay.sent);
+	ck_assert_int_eq(sent->body_case, BERGAMOT__PEER__BODY_WORKER_ANSWERS);
+	ck_assert_uint_eq(sent->worker_answers->answers[0]->number, 7);
+	ck_assert_uint_eq(sent->worker_answers->answers[0]->answer,
+			  POOL_UNHEALTHY);
+	bergamot__peer__free_unpacked(sent, NULL);
+}
+END_TEST
+
 START_TEST(test_own_answers_are_not_consumed)
 {
 	struct pool_reply reply = { POOL_OK, 500, 1 };
@@ -485,6 +513,7 @@
 int main(void)
 {
 	return RUN_CASE("lease_relay", set_up, tear_down, test_call_and_answer,
+			test_damaged_order_is_refused,
 			test_own_answers_are_not_consumed,
 			test_few_workers_are_called_directly,
 			test_small_shares_are_spared, test_lost_relay,
