--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -301,6 +301,13 @@
 	       ends_ms > job->objective_ms * LEASE_MAX_OBJECTIVE_FACTOR;
 }
 
+static bool has_waited_long(const struct lease_node *lease_node,
+			    const struct lease_node_job *job, uint64_t now_ms)
+{
+	return !job->sent_to && lease_node->leaderless_ms &&
+	       now_ms - lease_node->leaderless_ms > MAX_LEADERLESS_MS;
+}
+
 void lease_node_expire_jobs(struct lease_node *lease_node, uint64_t now_ms)
 {
 	struct lease_node_job *job, *next;
@@ -308,10 +315,8 @@
 	HASH_ITER(hh, lease_node->jobs, job, next) {
 		if (now_ms >= job->deadline_ms + ANSWER_GRACE_MS)
 			end_job(lease_node, job, LEASE_DEADLINE, now_ms);
-		else if (is_too_late(lease_node, job, now_ms))
-			end_job(lease_node, job, LEASE_NO_LEADER, now_ms);
-		else if (!job->sent_to && lease_node->leaderless_ms &&
-			 now_ms - lease_node->leaderless_ms > MAX_LEADERLESS_MS)
+		else if (is_too_late(lease_node, job, now_ms) ||
+			 has_waited_long(lease_node, job, now_ms))
 			end_job(lease_node, job, LEASE_NO_LEADER, now_ms);
 		else if (!job->sent_to)
 			send_to_leader(lease_node, job, now_ms);
