base: log lines are collected for 100 ms

Cause: an entry of a large site writes some 20 lines a second, so that each woke the writer twice at 20 ms: once for the line, once at the end of the wait.

--- a/packages/base/line_sink.c
+++ b/packages/base/line_sink.c
@@ -14,7 +14,7 @@
  * The writer collects lines for this long: waking it for each line costs more
  * than the line.
  */
-#define COLLECT_MS 20
+#define COLLECT_MS 100
 
 struct line {
 	STAILQ_ENTRY(line) entry;
