core: jobs are not sent to a leader whose beats are missing

Change: after 0.3 s without a beat an entry keeps its jobs; they go to the same leader with its next beat, or to the next leader as never sent. Ruled out: a shorter validity of beats, which would replace slow leaders.

--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -24,6 +24,12 @@
 /* Past a job's deadline, for the leader's own answer to arrive. */
 #define ANSWER_GRACE_MS 100
 #define RETRY_AFTER_MS 1000 /* another instance leads by then */
+/*
+ * A leader whose beats are missing for longer may be cut off: jobs stay here,
+ * so that the next leader can start them at once. Its beats are at most two
+ * periods of its idle loop apart.
+ */
+#define QUIET_LEADER_MS 300
 
 static void answer_caller(struct lease_node *lease_node,
 			  struct lease_node_job *job, enum lease_end end,
@@ -117,12 +123,14 @@
 	lease_node_schedule_run(lease_node);
 }
 
-static bool is_linked(struct lease_node *lease_node, uint64_t incarnation)
+/* Returns true if the leader is linked, and its beats arrive. */
+static bool is_reachable(struct lease_node *lease_node, uint64_t leader,
+			 uint64_t now_ms)
 {
 	const struct leader_member *m =
-		leader_find(lease_node->members, incarnation);
+		leader_find(lease_node->members, leader);
 
-	return m && m->linked;
+	return m && m->linked && now_ms - m->last_beat_ms <= QUIET_LEADER_MS;
 }
 
 /*
@@ -137,14 +145,14 @@
 	job->former = 0;
 }
 
-/* Sends a job to the leader, if there is one that is linked. */
+/* Sends a job to the leader, if there is one that can be reached. */
 static void send_to_leader(struct lease_node *lease_node,
 			   struct lease_node_job *job, uint64_t now_ms)
 {
 	uint64_t leader = lease_node->leader;
 	bool leads = leader == lease_node->options.incarnation;
 
-	if (!leader || (!leads && !is_linked(lease_node, leader)))
+	if (!leader || (!leads && !is_reachable(lease_node, leader, now_ms)))
 		return;
 	leave_former(lease_node, job, now_ms);
 	job->sent_to = leader;
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -26,6 +26,8 @@
 static struct lease_node_ports ports;
 static struct lease_node_answer answers[4]; /* by number of the request */
 static bool answered[4];
+static uint32_t sent_jobs;
+static uint32_t sent_handed[4]; /* earlier leaders, by request */
 static uint64_t now_ms;
 
 static void port_answer(void *ctx, const struct lease_node_answer *answer)
@@ -40,7 +42,10 @@
 {
 	(void)ctx;
 	(void)incarnation;
-	(void)msg;
+	if (msg->body_case != BERGAMOT__PEER__BODY_QUEUE_JOB)
+		return;
+	sent_jobs++;
+	sent_handed[msg->queue_job->request] = msg->queue_job->handed;
 }
 
 static uint64_t port_wall_ms(void *ctx)
@@ -71,6 +76,7 @@
 
 	now_ms = 1000;
 	memset(answered, 0, sizeof(answered));
+	sent_jobs = 0;
 	ports = (struct lease_node_ports){
 		.answer = port_answer,
 		.send = port_send,
@@ -106,6 +112,26 @@
 	}
 }
 
+static void link_member(uint64_t incarnation, char *name)
+{
+	Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
+
+	hello.incarnation = incarnation;
+	hello.instance = hello.address = name;
+	lease_node_peer_up(node, &hello, now_ms);
+}
+
+static void receive_beat(uint64_t from, uint64_t claim)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	beat.claim = claim;
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	lease_node_peer_message(node, from, &peer, now_ms);
+}
+
 START_TEST(test_useless_jobs_are_refused_at_once)
 {
 	submit(1, SHORT_MS);
@@ -124,17 +150,8 @@
 /* A job that a lost leader has had may have run: it is not refused. */
 START_TEST(test_job_of_a_lost_leader_waits)
 {
-	Bergamot__Hello hello = BERGAMOT__HELLO__INIT;
-	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
-	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
-
-	hello.incarnation = LEADER;
-	hello.instance = hello.address = "leader";
-	lease_node_peer_up(node, &hello, now_ms);
-	beat.claim = 5;
-	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
-	peer.leader_beat = &beat;
-	lease_node_peer_message(node, LEADER, &peer, now_ms);
+	link_member(LEADER, "leader");
+	receive_beat(LEADER, 5);
 	advance(TICK_MS);
 	submit(1, SHORT_MS);
 	lease_node_peer_down(node, LEADER, now_ms);
@@ -143,9 +160,51 @@
 }
 END_TEST
 
+/*
+ * A data centre is cut off: its entries lose the leader after 0.6 s only. Jobs
+ * that come when its beats have been missing for 0.3 s are not sent to it, so
+ * that the next leader need not wait for its runs to end.
+ */
+START_TEST(test_jobs_are_not_sent_to_a_quiet_leader)
+{
+	link_member(LEADER, "leader");
+	link_member(LEADER + 1, "next");
+	receive_beat(LEADER, 5);
+	advance(280);
+	submit(1, LONG_MS);
+	ck_assert_uint_eq(sent_jobs, 1);
+	advance(40);
+	submit(2, LONG_MS);
+	ck_assert_uint_eq(sent_jobs, 1);
+	advance(400);
+	receive_beat(LEADER + 1, 6);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 3); /* the first one again */
+	ck_assert_uint_eq(sent_handed[1], 1);
+	ck_assert_uint_eq(sent_handed[2], 0);
+}
+END_TEST
+
+/* One that is only slow gets them with its next beat. */
+START_TEST(test_jobs_are_sent_when_beats_come_again)
+{
+	link_member(LEADER, "leader");
+	receive_beat(LEADER, 5);
+	advance(400);
+	submit(1, LONG_MS);
+	ck_assert_uint_eq(sent_jobs, 0);
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 1);
+	ck_assert_uint_eq(sent_handed[1], 0);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_node_entry", set_up, tear_down,
 			test_useless_jobs_are_refused_at_once,
-			test_job_of_a_lost_leader_waits);
+			test_job_of_a_lost_leader_waits,
+			test_jobs_are_not_sent_to_a_quiet_leader,
+			test_jobs_are_sent_when_beats_come_again);
 }
