--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -11,8 +11,8 @@
 
 #define LEASE_MS 1000
 #define STOP_MS 50
-#define MAX_NODES 6
-#define MAX_WORKERS 12
+#define MAX_NODES 160
+#define MAX_WORKERS 1200
 #define MAX_RUNS 16
 #define MAX_ENDS 256
 #define WORKER_MILLI 4000
@@ -28,6 +28,12 @@
 #define DIAL_PERIOD_MS 500
 #define STOP_LIMIT_MS 3000
 #define RESEND_MS 1300 /* until a caller retries on a new connection */
+#define EVENT_SLOTS 16384 /* above the longest delay in ms */
+#define POWER_OFF_MS 1000
+#define POWER_ON_SPREAD_MS 400 /* instances are not back at the same time */
+#define LARGE_WEIGHT 500
+#define SMALL_WEIGHT 90
+#define WEIGHT 250
 
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
@@ -75,6 +81,7 @@
 	uint64_t last_end;
 	struct seen_run *seen_runs;
 	struct hold holds[MAX_NODES];
+	bool has_holds; /* one of them may wait */
 	uint64_t born; /* start time in ms */
 };
 
@@ -87,8 +94,9 @@
 	uint64_t frozen_until_ms; /* 0: not frozen */
 	uint64_t restart_ms; /* when it is started again; 0: not killed */
 	uint64_t stop_ends_ms; /* end of a planned stop; 0: not stopping */
-	uint64_t flush_ms; /* time of the scheduled flush */
-	char name[4];
+	uint64_t flush_ms; /* time of the scheduled flush; 0: none */
+	bool has_list; /* of the workers */
+	char name[8];
 };
 
 enum event_kind {
@@ -101,9 +109,9 @@
 };
 enum order_kind { ORDER_HOLD, ORDER_START, ORDER_STOP };
 
-/* A scheduled event; the list is sorted by due_ms. */
+/* A scheduled event. */
 struct event {
-	struct event *next;
+	STAILQ_ENTRY(event) entry;
 	enum event_kind kind;
 	uint64_t due_ms;
 	int node; /* the receiver, or for an order the sender */
@@ -125,6 +133,8 @@
 	struct job *job;
 };
 
+STAILQ_HEAD(event_list, event);
+
 struct job {
 	UT_hash_handle hh;
 	char id[STEP_JOB_ID_BYTES];
@@ -162,7 +172,7 @@
 	/* Until when links are cut. */
 	uint64_t cut_until_ms[MAX_NODES][MAX_NODES];
 	uint64_t worker_cut_until_ms[MAX_NODES][MAX_WORKERS];
-	struct event *events;
+	struct event_list events[EVENT_SLOTS]; /* by due_ms */
 	struct job *jobs;
 	struct request *requests;
 	struct noted_end *noted_ends;
@@ -170,6 +180,7 @@
 	uint64_t now_ms;
 	bool faults_ended;
 	bool started; /* all instances were started once */
+	uint64_t power_on_ms; /* the first instance is back; 0: not killed */
 };
 
 static const struct queue_config_queue queue = {
@@ -201,14 +212,11 @@
 				    uint64_t delay_ms)
 {
 	struct event *event = talloc_zero(site, struct event);
-	struct event **at = &site->events;
 
 	event->kind = kind;
 	event->due_ms = site->now_ms + delay_ms;
-	while (*at && (*at)->due_ms <= event->due_ms)
-		at = &(*at)->next;
-	event->next = *at;
-	*at = event;
+	STAILQ_INSERT_TAIL(&site->events[event->due_ms % EVENT_SLOTS], event,
+			   entry);
 	return event;
 }
 
@@ -278,7 +286,7 @@
 	struct node *node = ctx;
 	struct event *event;
 
-	if (node->flush_ms >= node->site->now_ms)
+	if (node->flush_ms)
 		return;
 	event = schedule_event(node->site, EV_FLUSH, 1);
 	event->node = node->index;
@@ -324,6 +332,10 @@
 	case LEASE_COMPLETED:
 	case LEASE_FAILED:
 		site->result->completed++;
+		if (site->power_on_ms && site->now_ms > site->power_on_ms &&
+		    !site->result->completed_after_ms)
+			site->result->completed_after_ms =
+				(uint32_t)(site->now_ms - site->power_on_ms);
 		job->only_refused = false;
 		break;
 	case LEASE_REFUSED:
@@ -558,6 +570,7 @@
 	if (e->unanswered)
 		return; /* a late hold does not replace the waiting one */
 	hold->waits = true;
+	w->has_holds = true;
 	hold->serial = e->token;
 	hold->after = e->ends_read;
 	hold->until_ms = site->now_ms + e->wait_ms;
@@ -642,11 +655,16 @@
 			end_run(w, i--, POOL_LAPSED);
 		else if (w->runs[i].ends_ms <= site->now_ms)
 			end_run(w, i--, POOL_DONE);
-	for (int n = 0; n < (int)site->options->instances; n++)
+	if (!w->has_holds)
+		return;
+	w->has_holds = false;
+	for (int n = 0; n < (int)site->options->instances; n++) {
 		if (w->holds[n].waits &&
 		    (w->holds[n].until_ms <= site->now_ms ||
 		     (w->end_count && w->last_end > w->holds[n].after)))
 			answer_hold(site, w, n);
+		w->has_holds |= w->holds[n].waits;
+	}
 }
 
 /* Instances */
@@ -690,6 +708,33 @@
 					 site->now_ms);
 	}
 	lease_node_worker_list_complete(node->lease_node, site->now_ms);
+	node->has_list = true;
+}
+
+static void list_instances(struct site *site, struct node *node)
+{
+	for (uint32_t i = 0; i < site->options->instances; i++)
+		lease_node_member_listed(node->lease_node, site->nodes[i].name);
+	lease_node_member_list_complete(node->lease_node);
+}
+
+/* Only some instances of a large site read the list of workers. */
+static void list_workers_if_needed(struct site *site, struct node *node)
+{
+	bool needed = lease_node_reads_workers(node->lease_node);
+
+	if (needed && !node->has_list)
+		list_workers(site, node);
+	else if (!needed && node->has_list)
+		lease_node_worker_list_closed(node->lease_node);
+	node->has_list = needed;
+}
+
+static uint32_t weight_of(const struct site *site, const struct node *node)
+{
+	if (!site->options->is_fleet)
+		return WEIGHT;
+	return node->index % 10 ? SMALL_WEIGHT : LARGE_WEIGHT;
 }
 
 static void start_node(struct site *site, struct node *node)
@@ -698,7 +743,7 @@
 		.ports = &node->ports,
 		.instance = node->name,
 		.address = node->name,
-		.weight = 250,
+		.weight = weight_of(site, node),
 		.direct_workers = site->options->direct_workers,
 		.first_start = site->options->first_start && !site->started,
 		.lease_ms = LEASE_MS,
@@ -713,6 +758,7 @@
 
 	node->restart_ms = node->frozen_until_ms = node->stop_ends_ms = 0;
 	node->flush_ms = 0;
+	node->has_list = false;
 	node->incarnation = random_next(&site->random) | 1;
 	options.incarnation = node->incarnation;
 	node->ports = (struct lease_node_ports){
@@ -727,7 +773,10 @@
 	};
 	node->lease_node = lease_node_create(NULL, &options);
 	lease_node_config_read(node->lease_node, "1", 1, site->now_ms);
-	list_workers(site, node);
+	if (site->options->is_fleet)
+		list_instances(site, node);
+	else
+		list_workers(site, node);
 	for (uint32_t i = 0; i < site->options->instances; i++)
 		if (site->nodes[i].lease_node)
 			link_nodes(site, node, &site->nodes[i]);
@@ -781,8 +830,36 @@
 		 is_running(site, node))
 		end_node(site, node);
 	else if (is_running(site, node) &&
-		 (site->now_ms + (uint64_t)node->index * 3) % TICK_MS == 0)
+		 (site->now_ms + (uint64_t)node->index * 3) % TICK_MS == 0) {
 		lease_node_tick(node->lease_node, site->now_ms);
+		if (site->options->is_fleet)
+			list_workers_if_needed(site, node);
+	}
+}
+
+/* All instances lose power, and are back one after the other. */
+static void kill_all(struct site *site)
+{
+	for (uint32_t i = 0; i < site->options->instances; i++)
+		if (site->nodes[i].lease_node)
+			kill_node(site, &site->nodes[i]);
+	for (uint32_t i = 0; i < site->options->instances; i++)
+		site->nodes[i].restart_ms =
+			site->now_ms + POWER_OFF_MS +
+			random_below(&site->random, POWER_ON_SPREAD_MS);
+	site->power_on_ms = site->now_ms + POWER_OFF_MS;
+}
+
+static void note_leader(struct site *site)
+{
+	if (!site->power_on_ms || site->result->leader_after_ms ||
+	    site->now_ms < site->power_on_ms)
+		return;
+	for (uint32_t i = 0; i < site->options->instances; i++)
+		if (site->nodes[i].lease_node &&
+		    lease_node_leads(site->nodes[i].lease_node))
+			site->result->leader_after_ms =
+				(uint32_t)(site->now_ms - site->power_on_ms);
 }
 
 /* Callers */
@@ -847,6 +924,14 @@
 		site->cut_until_ms[b][a] = until_ms;
 }
 
+/* Returns on which side of a partition an instance or worker is. */
+static uint64_t side_of(uint64_t sides, uint32_t i)
+{
+	if (i >= 64)
+		sides = (sides + i) * UINT64_C(0x9E3779B97F4A7C15);
+	return sides >> i % 64 & 1;
+}
+
 /* Partitions the instances and workers into two sides. */
 static void cut_site(struct site *site)
 {
@@ -856,10 +941,10 @@
 
 	for (uint32_t a = 0; a < n; a++) {
 		for (uint32_t b = 0; b < n; b++)
-			if (((sides >> a) ^ (sides >> b)) & 1)
+			if (side_of(sides, a) != side_of(sides, b))
 				site->cut_until_ms[a][b] = until_ms;
 		for (uint32_t w = 0; w < site->options->workers; w++)
-			if (((sides >> a) ^ (sides >> (16 + w))) & 1)
+			if (side_of(sides, a) != side_of(sides, 16 + w))
 				site->worker_cut_until_ms[a][w] = until_ms;
 	}
 }
@@ -1020,12 +1105,11 @@
 	if (!is_running(site, node)) {
 		struct event *later = schedule_event(
 			site, e->kind, node->frozen_until_ms - site->now_ms);
-		uint64_t due_ms = later->due_ms;
-		struct event *next = later->next;
+		struct event copy = *e;
 
-		*later = *e;
-		later->due_ms = due_ms;
-		later->next = next;
+		copy.due_ms = later->due_ms;
+		copy.entry = later->entry;
+		*later = copy;
 		talloc_steal(later, e->data);
 		return;
 	}
@@ -1037,6 +1121,7 @@
 		bergamot__peer__free_unpacked(msg, NULL);
 		break;
 	case EV_FLUSH:
+		node->flush_ms = 0;
 		lease_node_flush(node->lease_node, site->now_ms);
 		break;
 	case EV_REPLY:
@@ -1060,14 +1145,15 @@
 static void step(struct site *site)
 {
 	const struct fake_site_options *o = site->options;
+	struct event_list *due;
 	struct event *event;
 
-	site->now_ms++;
+	due = &site->events[++site->now_ms % EVENT_SLOTS];
 	reopen_links(site);
 	if (site->now_ms % DIAL_PERIOD_MS == 0)
 		dial_unlinked(site);
-	while ((event = site->events) && event->due_ms <= site->now_ms) {
-		site->events = event->next;
+	while ((event = STAILQ_FIRST(due))) {
+		STAILQ_REMOVE_HEAD(due, entry);
 		deliver(site, event);
 		talloc_free(event);
 	}
@@ -1075,11 +1161,14 @@
 		step_worker(site, &site->workers[i]);
 	for (uint32_t i = 0; i < o->instances; i++)
 		step_node(site, &site->nodes[i]);
+	note_leader(site);
 }
 
 static void set_up(struct site *site)
 {
 	site->now_ms = 40000;
+	for (size_t i = 0; i < EVENT_SLOTS; i++)
+		STAILQ_INIT(&site->events[i]);
 	random_seed(&site->random, site->options->seed);
 	for (uint32_t i = 0; i < site->options->workers; i++) {
 		snprintf(site->workers[i].id, sizeof(site->workers[i].id),
@@ -1091,7 +1180,10 @@
 
 		node->site = site;
 		node->index = (int)i;
-		node->name[0] = (char)('a' + i);
+		if (site->options->is_fleet)
+			snprintf(node->name, sizeof(node->name), "n%u", i);
+		else
+			node->name[0] = (char)('a' + i);
 		start_node(site, node);
 	}
 	site->started = true;
@@ -1140,10 +1232,13 @@
 			submit_new_job(site);
 		if (random_below(&site->random, 1000) < options->faults_per_s)
 			inject_fault(site);
+		if (i + 1 == options->kill_all_ms)
+			kill_all(site);
 		step(site);
 	}
 	site->faults_ended = true;
-	for (uint64_t i = 0; i < SETTLE_MS; i++)
+	for (uint64_t i = 0;
+	     i < (options->settle_ms ? options->settle_ms : SETTLE_MS); i++)
 		step(site);
 	tear_down(site);
 }
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -17,7 +17,15 @@
 	uint32_t workers;
 	uint32_t direct_workers; /* relays are used above it; 0: default */
 	bool first_start; /* instances know that the system is new */
+	/*
+	 * One instance in ten has a large processor share; only instances that
+	 * need the list of workers read it, and each reads that of instances.
+	 */
+	bool is_fleet;
+	/* All instances are killed then, and back 1 s later; 0: never. */
+	uint64_t kill_all_ms;
 	uint64_t length_ms; /* of arrivals and faults */
+	uint64_t settle_ms; /* without faults, at the end; 0: 12 s */
 	uint32_t jobs_per_s;
 	uint32_t faults_per_s;
 	uint64_t seed;
@@ -36,6 +44,9 @@
 	uint32_t wrong_answers; /* refused but run, or answered twice */
 	uint32_t faults;
 	uint32_t leaders; /* at the end */
+	/* After kill_all_ms, from the return of the first instance on. */
+	uint32_t leader_after_ms; /* until one leads */
+	uint32_t completed_after_ms; /* until the first job is completed */
 	char first_error[160]; /* description of the first violation */
 };
 
