--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -148,8 +148,7 @@
 		 sizeof(peer->incarnation), peer);
 }
 
-/* Returns the link that takes the place of a closed one; NULL if none is left.
- */
+/* Returns the link that replaces a closed one; NULL if none is left. */
 static struct link *replace_first_link(struct peers *peers,
 				       uint64_t incarnation)
 {
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -9,8 +9,7 @@
 
 #define MAX_CONFIG_BYTES (4u << 20) /* of a document as text */
 #define MAX_BACKLOGS 256
-/* Limits of a job from an entry, which has applied the limits of its settings.
- */
+/* Limits of a job from an entry, whose settings limit it further. */
 #define MAX_JOB_TASKS 100000
 #define MAX_HANDED 10000 /* earlier leaders; bounds run numbers */
 /* Members that reach the store have read a new configuration by then. */
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -80,8 +80,8 @@
 
 /*
  * Marks a worker that obeys another instance. That one renews the lease of all
- * runs, also of ours, and may find them late: they stay open until the worker is
- * held again and lists what runs.
+ * runs, also of ours, and may find them late: they stay open until the worker
+ * is held again and lists what runs.
  */
 void pool_mark_foreign(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms);
