core: a job is released only by a probe sent after it arrived

Cause: a job that another leader may have is started once all workers have answered a probe. Probes were shared for 0.3 s, also by jobs that came after them. A worker that restarts after its answer knows no fencing token: the former leader, which still has the job, starts it there, and this one starts it again. Ruled out: orders carried out late and leases renewed by others; the run of the former leader began 4 ms before the worker's list was last read, and 156 ms after the probe that released the job. Evidence: test_lease_probe; seed 1668 of test_lease_long, found by playing 4,000 seeds (one instance behind a pause of 4.4 s leads beside another one; worker w3 restarts between its two holds). Change: a probe counts only if it was sent after the job arrived. Jobs that arrive within 40 ms (more on a large site) share the next one. Why it works: an answer to it lists what the former leader started on this process of the worker. Mutant BREAK_PROBE_AGE.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -441,6 +441,20 @@
 	return from->handed > job->handed + 1;
 }
 
+/*
+ * An earlier probe proves nothing: a worker that has restarted since may have
+ * obeyed the job's former leader again.
+ */
+static void probe_for(struct lease_dispatch *dispatch, struct lease_job *job,
+		      uint64_t now_ms)
+{
+	job->probe_after_ms = now_ms;
+#ifdef BREAK_PROBE_AGE
+	job->probe_after_ms = 0;
+#endif
+	pool_probe_all(dispatch->pool, now_ms);
+}
+
 /* Tasks that wait do not start while another leader's runs may be open. */
 static void wait_for_earlier_runs(struct lease_dispatch *dispatch,
 				  struct lease_job *job,
@@ -453,7 +467,7 @@
 		return;
 	if (over_ms > job->earlier_runs_over_ms)
 		job->earlier_runs_over_ms = over_ms;
-	job->probed_ms = pool_probe_all(dispatch->pool, now_ms);
+	probe_for(dispatch, job, now_ms);
 }
 
 static bool join_job(struct lease_dispatch *dispatch,
@@ -515,7 +529,7 @@
 	if (!from->handed)
 		lease_note_arrival(dispatch, job, now_ms);
 	if (from->closed_in_ms)
-		job->probed_ms = pool_probe_all(dispatch->pool, now_ms);
+		probe_for(dispatch, job, now_ms);
 	counter_add(COUNTER_JOBS_ADMITTED, 1);
 	log_info(LOG_JOB,
 		 "job %s: admitted from entry %016" PRIx64
@@ -624,7 +638,7 @@
 		return false;
 	if (*held_since_ms == HELD_UNKNOWN)
 		*held_since_ms = pool_all_held_since(dispatch->pool, now_ms);
-	return !*held_since_ms || *held_since_ms < job->probed_ms;
+	return !*held_since_ms || *held_since_ms < job->probe_after_ms;
 }
 
 static int compare_jobs(const void *a, const void *b, void *arg)
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -51,9 +51,13 @@
 	uint64_t received_ms;
 	uint64_t objective_ms; /* from received_ms */
 	uint64_t deadline_ms;
-	/* Tasks wait for this time, or for all workers to answer a probe. */
-	uint64_t earlier_runs_over_ms; /* earlier leaders' runs end by then */
-	uint64_t probed_ms; /* when that probe was sent */
+	/*
+	 * Tasks wait for earlier_runs_over_ms, by when earlier leaders' runs
+	 * have ended, or until all workers have answered a probe that was sent
+	 * after the job was received.
+	 */
+	uint64_t earlier_runs_over_ms;
+	uint64_t probe_after_ms;
 	uint64_t abandon_at_ms; /* time to stop it; 0: it has a waiter */
 	char *text;
 	struct job_step *steps;
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -447,6 +447,7 @@
 
 	pool->ticked_ms = now_ms;
 	expire_found_ends(pool, now_ms);
+	pool_send_due_probes(pool, now_ms);
 	for (; worker; worker = next) {
 		next = TAILQ_NEXT(worker, entry);
 		if (pool->fence && !late) {
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -312,12 +312,12 @@
 bool pool_is_settling(const struct lease_pool *pool, uint64_t now_ms);
 
 /*
- * Sends a probe, a hold that does not wait, to all held workers, unless the
- * last one is recent. Returns its time, for pool_all_held_since. It is
- * needed because a worker that has restarted does not know our fencing token:
- * another leader may have used it since its last answer.
+ * Sends a probe, a hold that does not wait, to all held workers, now or soon
+ * after the last one. It is needed because a worker that has restarted does not
+ * know our fencing token: another leader may have used it since its last
+ * answer.
  */
-uint64_t pool_probe_all(struct lease_pool *pool, uint64_t now_ms);
+void pool_probe_all(struct lease_pool *pool, uint64_t now_ms);
 
 /*
  * Returns the longest time in ms for which a worker has obeyed another
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -28,10 +28,11 @@
 #define ANSWER_DEVIATIONS 4
 #define UNANSWERED_BACKOFF 6 /* multiple of the limit if none has an answer */
 /*
- * Entry instances resubmit an earlier leader's jobs within this time, so that
- * one probe serves all of these jobs.
+ * Least time between two probes of all workers, and more for a large site: jobs
+ * that arrive from several entry instances meanwhile share the next probe.
  */
-#define PROBE_REUSE_MS 300
+#define PROBE_PERIOD_MS 40
+#define PROBED_WORKERS_PER_MS 4
 #define FIRST_RETRY_MS 100 /* doubled for each failed hold in a row */
 #define MAX_RETRY_MS 1000
 #define CLOCK_DRIFT_PERCENT 2 /* a worker's clock may be slow by this */
@@ -209,6 +210,7 @@
 
 	pool->fence = fence;
 	pool->probed_ms = now_ms;
+	pool->probe_due_ms = 0;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		worker->state = POOL_UNHELD;
 		worker->hold_pending = false;
@@ -221,18 +223,28 @@
 	}
 }
 
-uint64_t pool_probe_all(struct lease_pool *pool, uint64_t now_ms)
+void pool_send_due_probes(struct lease_pool *pool, uint64_t now_ms)
 {
 	struct pool_worker *worker;
 
-	if (now_ms - pool->probed_ms < PROBE_REUSE_MS)
-		return pool->probed_ms;
+	if (!pool->fence || !pool->probe_due_ms || pool->probe_due_ms > now_ms)
+		return;
+	pool->probe_due_ms = 0;
 	pool->probed_ms = now_ms;
 	TAILQ_FOREACH(worker, &pool->workers, entry)
 		if (worker->registered && worker->state == POOL_HELD &&
 		    !worker->failures)
 			pool_send_hold(pool, worker, 0, now_ms);
-	return now_ms;
+}
+
+void pool_probe_all(struct lease_pool *pool, uint64_t now_ms)
+{
+	uint64_t due_ms = pool->probed_ms + PROBE_PERIOD_MS +
+			  pool->slot_count / PROBED_WORKERS_PER_MS;
+
+	if (!pool->probe_due_ms)
+		pool->probe_due_ms = due_ms > now_ms ? due_ms : now_ms;
+	pool_send_due_probes(pool, now_ms);
 }
 
 /* Copies the job's id from the start of a task's name. */
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -47,6 +47,7 @@
 	uint64_t next_serial;
 	uint64_t fence; /* 0: this instance does not lead */
 	uint64_t probed_ms; /* when all workers were last probed */
+	uint64_t probe_due_ms; /* of the next such probe; 0: none */
 	uint64_t ticked_ms;
 	/* Moving averages over starts; the first two over answered ones. */
 	double mean_answer_ms;
@@ -115,6 +116,9 @@
 void pool_send_due_hold(struct lease_pool *pool, struct pool_worker *worker,
 			uint64_t now_ms);
 
+/* Sends the probe that pool_probe_all has scheduled, if it is due. */
+void pool_send_due_probes(struct lease_pool *pool, uint64_t now_ms);
+
 void pool_hold_failed(struct pool_worker *worker, enum pool_answer answer,
 		      uint64_t now_ms);
 
--- a/packages/core/tests/test_lease_long.c
+++ b/packages/core/tests/test_lease_long.c
@@ -21,8 +21,8 @@
 #endif
 #define TASK_MS 900
 
-/* Seeds that once showed two runs of a task (issue 26). */
-static const uint64_t failed[] = { 2180, 2943, 3241, 5743,
+/* Seeds that once showed two runs of a task (issues 26, 30). */
+static const uint64_t failed[] = { 1668, 2180, 2943, 3241, 5743,
 				   5978, 5999, 6871, 8096 };
 
 #define FAILED_COUNT ((int)(sizeof(failed) / sizeof(*failed)))
