base: the clock includes time in which the machine was suspended

Cause: all times were read from CLOCK_MONOTONIC, which stands still while a machine is suspended (DEPLOY.md of the users names such suspensions). A leader that was suspended for seconds did not notice it: it went on counting on beats from before, and could start tasks of jobs that others had taken over, on workers that the next leader does not reach. Change: CLOCK_BOOTTIME. The checks for a pause of the process then see a suspension, too. Before / after: test_suspension_is_not_noticed, which replaces clock_gettime, fails / passes.

--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -14,7 +14,7 @@
 
 uint64_t clock_now_us(void)
 {
-	return read_us(CLOCK_MONOTONIC);
+	return read_us(CLOCK_BOOTTIME);
 }
 
 uint64_t clock_now_ms(void)
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -5,9 +5,10 @@
 
 /*
  * Clocks. Decisions use the monotonic clock only, and its readings are never
- * compared between instances. The wall clock is used in logs and in an
- * instance's first claim to leadership, which it makes higher than the claims
- * of earlier incarnations (core/leader_member.h).
+ * compared between instances. It includes time in which the machine was
+ * suspended: what others may take for granted lapses meanwhile. The wall clock
+ * is used in logs and in an instance's first claim to leadership, which it
+ * makes higher than the claims of earlier incarnations (core/leader_member.h).
  *
  * tevent timers also run on the monotonic clock in each program that links
  * this module.
--- a/packages/base/tests/test_clock.c
+++ b/packages/base/tests/test_clock.c
@@ -1,6 +1,12 @@
-/* tevent timers follow the monotonic clock, not the time of day. */
+/*
+ * tevent timers follow the monotonic clock, not the time of day, and the clock
+ * includes time in which the machine was suspended.
+ */
 #include <stdlib.h>
+#include <sys/syscall.h>
 #include <tevent.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/tests/run_suite.h"
@@ -45,8 +51,32 @@
 }
 END_TEST
 
+static time_t suspended_s;
+
+/*
+ * Replaces the library's function in this program: CLOCK_BOOTTIME includes
+ * suspended time, CLOCK_MONOTONIC does not.
+ */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int status = (int)syscall(SYS_clock_gettime, id, ts);
+
+	if (id == CLOCK_BOOTTIME)
+		ts->tv_sec += suspended_s;
+	return status;
+}
+
+START_TEST(test_suspension_is_not_noticed)
+{
+	uint64_t begin_ms = clock_now_ms();
+
+	suspended_s = 5;
+	ck_assert_uint_ge(clock_now_ms() - begin_ms, 5000);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("clock", NULL, NULL, test_loop_time_is_monotonic,
-			test_timer_fires);
+			test_timer_fires, test_suspension_is_not_noticed);
 }
