core: a relay drops orders that the leader has given up

Cause: a relay that was frozen carries out, once it goes on, the starts that it had received before. The leader has stopped these runs meanwhile, through another relay, and has started the tasks elsewhere; a worker that has restarted since knows nothing of the stops. On a worker that restarts its clock starts anew, too, so that the deadline of the start does not end it. Change: orders carry the time at which they were sent, on the sender's clock; a relay drops those older than the leader waits for an answer. Why it works: the leader has then ended the call as not answered. What is left is an order in its first 0.23 s, and one that the network holds back. Also: the simulation's callers may send a job again after an answer that tasks may have run, and after a lost connection to an instance that works on. Mutant BREAK_ORDER_AGE.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -58,6 +58,7 @@
  * smaller side's leader must not take the others for its own.
  */
 #define MAJORITY_WAIT_MS 2000
+#define CLOCK_DRIFT_DIVISOR 50 /* the clocks of two machines, 2% */
 #define LOST_MEMBER_TTL_MS 30000 /* until then it counts for the majority */
 
 struct leadership {
@@ -285,6 +286,31 @@
 			(uint32_t)lag_ms;
 }
 
+static void update_clock(struct leader_member *member, uint64_t clock_ms,
+			 uint64_t now_ms)
+{
+	int64_t ahead_ms = (int64_t)(clock_ms - now_ms);
+	int64_t drift_ms = (int64_t)((now_ms - member->last_beat_ms) /
+				     CLOCK_DRIFT_DIVISOR);
+
+	if (!member->last_beat_ms ||
+	    ahead_ms > member->clock_ahead_ms - drift_ms)
+		member->clock_ahead_ms = ahead_ms;
+	else
+		member->clock_ahead_ms -= drift_ms;
+	member->clock_ms = clock_ms;
+}
+
+uint64_t leader_clock_of(const struct leader_member *member, uint64_t now_ms)
+{
+	uint64_t drift_ms =
+		(now_ms - member->last_beat_ms) / CLOCK_DRIFT_DIVISOR;
+
+	if (!member->last_beat_ms)
+		return 0;
+	return now_ms + (uint64_t)member->clock_ahead_ms - drift_ms;
+}
+
 void leader_receive_beat(struct leadership *leadership, uint64_t incarnation,
 			 const Bergamot__LeaderBeat *beat, uint64_t now_ms)
 {
@@ -292,13 +318,15 @@
 
 	if (!member)
 		return;
-	/* No claim could go above it. */
-	if (beat->claim > MAX_CLAIM || beat->highest_claim > MAX_CLAIM) {
+	/* No claim could go above it, and no clock shows such a time. */
+	if (beat->claim > MAX_CLAIM || beat->highest_claim > MAX_CLAIM ||
+	    beat->clock_ms > MAX_CLAIM) {
 		log_warning(LOG_MEMBER,
 			    "dropped a beat of member %s: claim %" PRIu64
-			    ", highest claim %" PRIu64 ", limit %" PRIu64,
+			    ", highest claim %" PRIu64 ", clock %" PRIu64
+			    ", limit %" PRIu64,
 			    member->instance, beat->claim, beat->highest_claim,
-			    MAX_CLAIM);
+			    beat->clock_ms, MAX_CLAIM);
 		return;
 	}
 	member->resigned = member->claim && !beat->claim;
@@ -318,8 +346,8 @@
 	if (beat->leaderless && beat->weight && leadership->candidate_ms &&
 	    !leadership->leaderless_ms)
 		member->beat_due_ms = 0;
+	update_clock(member, beat->clock_ms, now_ms);
 	member->last_beat_ms = now_ms;
-	member->clock_ms = beat->clock_ms;
 	member->claim = beat->claim;
 	member->majority = beat->claim && beat->majority;
 	member->leaderless = beat->leaderless;
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -63,6 +63,7 @@
 	uint64_t link_changed_ms; /* when the link last came up or went down */
 	uint64_t last_beat_ms; /* when its last beat arrived; 0: never */
 	uint64_t clock_ms; /* its clock in its last beat, to be echoed */
+	int64_t clock_ahead_ms; /* lower bound of its clock less ours */
 	uint64_t valid_until_ms; /* it may count us as live until this time */
 	uint64_t claim; /* 0: it does not claim to lead */
 	bool majority; /* it leads in touch with most members */
@@ -103,6 +104,12 @@
 void leader_receive_beat(struct leadership *leadership, uint64_t incarnation,
 			 const Bergamot__LeaderBeat *beat, uint64_t now_ms);
 
+/*
+ * Returns a lower bound of a member's clock in ms, by its beats; 0 if it has
+ * sent none. A beat that was read late, such as after a pause, lowers nothing.
+ */
+uint64_t leader_clock_of(const struct leader_member *member, uint64_t now_ms);
+
 /* Fills in this instance's beat to a member. */
 void leader_fill_beat(struct leadership *leadership,
 		      const struct leader_member *member,
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -487,7 +487,7 @@
 		break;
 	case BERGAMOT__PEER__BODY_WORKER_ORDERS:
 		relay_receive_orders(lease_node->relay, from,
-				     msg->worker_orders);
+				     msg->worker_orders, now_ms);
 		break;
 	case BERGAMOT__PEER__BODY_WORKER_ANSWERS:
 		relay_receive_answers(lease_node->relay, from,
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -92,6 +92,7 @@
 struct batch {
 	UT_hash_handle hh;
 	uint64_t member;
+	uint64_t since_ms; /* when its first message was added */
 	Bergamot__WorkerOrder **orders;
 	size_t order_count;
 	Bergamot__WorkerAnswer **answers;
@@ -262,6 +263,7 @@
 		return batch;
 	batch = talloc_zero(lease_relay, struct batch);
 	batch->member = member;
+	batch->since_ms = lease_relay->now_ms;
 	HASH_ADD(hh, lease_relay->batches, member, sizeof(batch->member),
 		 batch);
 	lease_relay->options.wake(lease_relay->options.ctx);
@@ -306,6 +308,7 @@
 	if (batch->order_count) {
 		orders.orders = batch->orders;
 		orders.n_orders = batch->order_count;
+		orders.clock_ms = batch->since_ms;
 		peer.body_case = BERGAMOT__PEER__BODY_WORKER_ORDERS;
 		peer.worker_orders = &orders;
 		lease_relay->options.send(lease_relay->options.ctx,
@@ -815,18 +818,50 @@
 	}
 }
 
+/*
+ * Returns a lower bound of the time in ms since the orders were sent, by the
+ * sender's clock; 0 if it is not known.
+ */
+static uint64_t least_age_ms(const struct lease_relay *lease_relay,
+			     uint64_t from, const Bergamot__WorkerOrders *msg)
+{
+	const struct leader_member *m =
+		leader_find(lease_relay->options.members, from);
+	uint64_t clock_ms;
+
+#ifdef BREAK_ORDER_AGE
+	return 0;
+#endif
+	if (!m || !msg->clock_ms)
+		return 0;
+	clock_ms = leader_clock_of(m, lease_relay->now_ms);
+	return clock_ms > msg->clock_ms ? clock_ms - msg->clock_ms : 0;
+}
+
 void relay_receive_orders(struct lease_relay *lease_relay, uint64_t from,
-			  const Bergamot__WorkerOrders *msg)
+			  const Bergamot__WorkerOrders *msg, uint64_t now_ms)
 {
+	uint64_t age_ms;
+	size_t dropped = 0;
+
+	lease_relay->now_ms = now_ms;
+	age_ms = least_age_ms(lease_relay, from, msg);
 	for (size_t i = 0; i < msg->n_orders; i++) {
 		const Bergamot__WorkerOrder *order = msg->orders[i];
 		const char *fault = find_fault(lease_relay, order);
 
 		if (fault)
 			refuse_order(lease_relay, from, order, fault);
+		else if (age_ms > (uint64_t)order->timeout_ms + ANSWER_SLACK_MS)
+			dropped++;
 		else
 			make_relayed_call(lease_relay, from, order);
 	}
+	if (dropped)
+		log_warning(LOG_TARGET,
+			    "dropped %zu orders of member %016" PRIx64
+			    " for workers: sent at least %" PRIu64 " ms ago",
+			    dropped, from, age_ms);
 }
 
 /*
--- a/packages/core/lease_relay.h
+++ b/packages/core/lease_relay.h
@@ -65,9 +65,12 @@
 			 const struct pool_reply *reply,
 			 const struct pool_lists *lists);
 
-/* Handle messages of other instances. */
+/*
+ * Handle messages of other instances. Orders that the sender has given up are
+ * dropped: the worker may have restarted since, and would carry them out.
+ */
 void relay_receive_orders(struct lease_relay *lease_relay, uint64_t from,
-			  const Bergamot__WorkerOrders *msg);
+			  const Bergamot__WorkerOrders *msg, uint64_t now_ms);
 void relay_receive_answers(struct lease_relay *lease_relay, uint64_t from,
 			   const Bergamot__WorkerAnswers *msg, uint64_t now_ms);
 
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -332,6 +332,14 @@
 	return r ? r->job : NULL;
 }
 
+/* The caller sends the job again on a new connection, to any instance. */
+static void resend_later(struct site *site, struct job *job)
+{
+	struct event *resend = schedule_event(site, EV_RESEND, RESEND_MS);
+
+	resend->job = job;
+}
+
 static void port_answer(void *ctx, const struct lease_node_answer *answer)
 {
 	struct node *node = ctx;
@@ -368,6 +376,8 @@
 	default:
 		site->result->given_up++;
 		job->only_refused = false;
+		if (site->options->more_resends)
+			resend_later(site, job);
 	}
 }
 
@@ -863,15 +873,12 @@
 	struct job *job;
 
 	for (job = site->jobs; job; job = job->hh.next) {
-		struct event *resend;
-
 		if (!job->open || job->incarnation != node->incarnation)
 			continue;
 		job->open = false;
 		job->only_refused = false;
 		site->result->lost++;
-		resend = schedule_event(site, EV_RESEND, RESEND_MS);
-		resend->job = job;
+		resend_later(site, job);
 	}
 	talloc_free(node->lease_node);
 	node->lease_node = NULL;
@@ -1104,15 +1111,38 @@
 	}
 }
 
+/* Callers of an instance, which works on, lose their connections. */
+static void reset_callers(struct site *site)
+{
+	struct node *node = pick_running_node(site);
+	struct job *job;
+
+	if (!node)
+		return;
+	for (job = site->jobs; job; job = job->hh.next) {
+		if (!job->open || job->incarnation != node->incarnation)
+			continue;
+		job->open = false;
+		job->only_refused = false;
+		site->result->lost++;
+		close_request(site, job->request);
+		lease_node_caller_disconnected(node->lease_node, job->request,
+					       site->now_ms);
+		resend_later(site, job);
+	}
+}
+
 static void inject_fault(struct site *site)
 {
 	static void (*const faults[])(struct site *) = {
 		cut_link,	  cut_site,	    cut_worker, freeze_node,
 		kill_random_node, stop_random_node, reset_link, crash_worker,
+		reset_callers,
 	};
-
-	size_t kind =
-		random_below(&site->random, sizeof(faults) / sizeof(faults[0]));
+	size_t kinds = sizeof(faults) / sizeof(faults[0]);
+	size_t kind = random_below(
+		&site->random,
+		site->options->more_resends ? kinds : kinds - 1);
 
 	site->result->faults++;
 	log_info(LOG_MAIN, "at %" PRIu64 " ms: fault %zu", site->now_ms, kind);
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -30,6 +30,11 @@
 	/* Estimate of a task, which runs for up to twice as long; 0: 300. */
 	uint32_t task_ms;
 	uint32_t faults_per_s;
+	/*
+	 * Callers also send a job again after an answer that some of its tasks
+	 * may have run, and lose connections to instances that work on.
+	 */
+	bool more_resends;
 	uint64_t seed;
 };
 
--- a/packages/core/tests/test_lease_long.c
+++ b/packages/core/tests/test_lease_long.c
@@ -25,7 +25,10 @@
 static const uint64_t failed[] = { 1668, 2180, 2943, 3241, 5743,
 				   5978, 5999, 6871, 8096 };
 
-#define FAILED_COUNT ((int)(sizeof(failed) / sizeof(*failed)))
+/* The same where callers resend more, with relays. */
+static const uint64_t failed_resends[] = { 1027, 1970, 3857, 4577, 5003 };
+
+#define COUNT(list) ((int)(sizeof(list) / sizeof(*list)))
 
 static bool is_listed(const char *list, uint64_t seed)
 {
@@ -39,12 +42,16 @@
 	return false;
 }
 
-/* Plays the seed at an index from 0 on. */
-static void play(int index, uint32_t direct_workers)
+/* Returns the seed at an index from 0 on: 1 to LAST_SEED, then those listed. */
+static uint64_t seed_at(int index, const uint64_t *listed)
+{
+	return index < LAST_SEED ? (uint64_t)index + 1
+				 : listed[index - LAST_SEED];
+}
+
+static void play(uint64_t seed, uint32_t direct_workers, bool more_resends)
 {
 	const char *only = getenv("BERGAMOT_SEEDS");
-	uint64_t seed = index < LAST_SEED ? (uint64_t)index + 1
-					  : failed[index - LAST_SEED];
 	struct fake_site_options options = {
 		.instances = 3 + (uint32_t)(seed % 3),
 		.workers = 8,
@@ -53,6 +60,7 @@
 		.jobs_per_s = 8,
 		.task_ms = TASK_MS,
 		.faults_per_s = 2,
+		.more_resends = more_resends,
 		.first_start = seed % 2 == 0,
 		.seed = seed,
 	};
@@ -72,14 +80,30 @@
 
 START_TEST(test_two_runs_of_long_tasks)
 {
-	play(_i, 0);
+	play(seed_at(_i, failed), 0, false);
 }
 END_TEST
 
 /* The same with relays that make the leader's calls to workers. */
 START_TEST(test_two_runs_of_long_tasks_with_relays)
 {
-	play(_i, 1);
+	play(seed_at(_i, failed), 1, false);
+}
+END_TEST
+
+/*
+ * Callers also resend after answers that tasks may have run, and after the loss
+ * of their connections.
+ */
+START_TEST(test_two_runs_of_resent_jobs)
+{
+	play(seed_at(_i, failed_resends), 0, true);
+}
+END_TEST
+
+START_TEST(test_two_runs_of_resent_jobs_with_relays)
+{
+	play(seed_at(_i, failed_resends), 1, true);
 }
 END_TEST
 
@@ -90,9 +114,13 @@
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, test_two_runs_of_long_tasks, 0,
-			    LAST_SEED + FAILED_COUNT);
+			    LAST_SEED + COUNT(failed));
 	tcase_add_loop_test(tc, test_two_runs_of_long_tasks_with_relays, 0,
-			    LAST_SEED + FAILED_COUNT);
+			    LAST_SEED + COUNT(failed));
+	tcase_add_loop_test(tc, test_two_runs_of_resent_jobs, 0,
+			    LAST_SEED + COUNT(failed_resends));
+	tcase_add_loop_test(tc, test_two_runs_of_resent_jobs_with_relays, 0,
+			    LAST_SEED + COUNT(failed_resends));
 	suite_add_tcase(suite, tc);
 	return run_suite(suite);
 }
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -236,7 +236,8 @@
 	relay_flush(leader.lease_relay);
 	msg = unpack_sent(&leader);
 	ck_assert_int_eq(msg->body_case, BERGAMOT__PEER__BODY_WORKER_ORDERS);
-	relay_receive_orders(relay.lease_relay, LEADER, msg->worker_orders);
+	relay_receive_orders(relay.lease_relay, LEADER, msg->worker_orders,
+			     now_ms);
 	bergamot__peer__free_unpacked(msg, NULL);
 }
 
@@ -295,7 +296,7 @@
 	order.timeout_ms = UINT32_MAX;
 	orders.orders = &rows;
 	orders.n_orders = 1;
-	relay_receive_orders(relay.lease_relay, LEADER, &orders);
+	relay_receive_orders(relay.lease_relay, LEADER, &orders, now_ms);
 	relay_flush(relay.lease_relay);
 	ck_assert_uint_eq(relay.calls, 0);
 	ck_assert_uint_eq(relay.sent_to, LEADER);
@@ -308,6 +309,36 @@
 }
 END_TEST
 
+/*
+ * No task has two runs: an order that a frozen relay has kept does not reach a
+ * worker that has forgotten the stop of its run.
+ */
+START_TEST(test_order_that_a_frozen_relay_kept)
+{
+	Bergamot__WorkerOrder order = BERGAMOT__WORKER_ORDER__INIT;
+	Bergamot__WorkerOrder *rows = &order;
+	Bergamot__WorkerOrders orders = BERGAMOT__WORKER_ORDERS__INIT;
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+
+	order.call = BERGAMOT__WORKER_CALL__HOLD;
+	order.worker = "w1";
+	order.address = "x";
+	order.timeout_ms = 75;
+	orders.orders = &rows;
+	orders.n_orders = 1;
+	beat.clock_ms = 900000;
+	leader_receive_beat(members, 2, &beat, now_ms);
+	orders.clock_ms = 900100;
+	relay_receive_orders(relay.lease_relay, 2, &orders, now_ms + 120);
+	ck_assert_uint_eq(relay.calls, 1);
+	/* After the freeze, a beat that was sent before it is read first. */
+	beat.clock_ms = 900110;
+	leader_receive_beat(members, 2, &beat, now_ms + 1000);
+	relay_receive_orders(relay.lease_relay, 2, &orders, now_ms + 1000);
+	ck_assert_uint_eq(relay.calls, 1);
+}
+END_TEST
+
 START_TEST(test_own_answers_are_not_consumed)
 {
 	struct pool_reply reply = { POOL_OK, 500, 1 };
@@ -514,6 +545,7 @@
 {
 	return RUN_CASE("lease_relay", set_up, tear_down, test_call_and_answer,
 			test_damaged_order_is_refused,
+			test_order_that_a_frozen_relay_kept,
 			test_own_answers_are_not_consumed,
 			test_few_workers_are_called_directly,
 			test_small_shares_are_spared, test_lost_relay,
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -4101,7 +4101,7 @@
   (ProtobufCMessageInit) bergamot__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__worker_orders__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bergamot__worker_orders__field_descriptors[2] =
 {
   {
     "orders",
@@ -4115,14 +4115,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerOrders, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__worker_orders__field_indices_by_name[] = {
+  1,   /* field[1] = clock_ms */
   0,   /* field[0] = orders */
 };
 static const ProtobufCIntRange bergamot__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor bergamot__worker_orders__descriptor =
 {
@@ -4132,7 +4145,7 @@
   "Bergamot__WorkerOrders",
   "bergamot",
   sizeof(Bergamot__WorkerOrders),
-  1,
+  2,
   bergamot__worker_orders__field_descriptors,
   bergamot__worker_orders__field_indices_by_name,
   1,  bergamot__worker_orders__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -650,10 +650,15 @@
   ProtobufCMessage base;
   size_t n_orders;
   Bergamot__WorkerOrder **orders;
+  /*
+   * The sender's monotonic clock. A relay that was paused drops orders that it
+   * reads too late. 0: unknown.
+   */
+  uint64_t clock_ms;
 };
 #define BERGAMOT__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__worker_orders__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Bergamot__ListedRun
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -208,6 +208,7 @@
 
 static void fill_orders(struct input *in, Bergamot__WorkerOrders *orders)
 {
+	orders->clock_ms = next_number(in);
 	orders->n_orders = next_byte(in) % MAX_ROWS;
 	orders->orders = talloc_array(mem, Bergamot__WorkerOrder *, MAX_ROWS);
 	for (size_t i = 0; i < orders->n_orders; i++) {
