--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -1135,14 +1135,13 @@
 static void inject_fault(struct site *site)
 {
 	static void (*const faults[])(struct site *) = {
-		cut_link,	  cut_site,	    cut_worker, freeze_node,
-		kill_random_node, stop_random_node, reset_link, crash_worker,
-		reset_callers,
+		cut_link,    cut_site,	       cut_worker,
+		freeze_node, kill_random_node, stop_random_node,
+		reset_link,  crash_worker,     reset_callers,
 	};
 	size_t kinds = sizeof(faults) / sizeof(faults[0]);
 	size_t kind = random_below(
-		&site->random,
-		site->options->more_resends ? kinds : kinds - 1);
+		&site->random, site->options->more_resends ? kinds : kinds - 1);
 
 	site->result->faults++;
 	log_info(LOG_MAIN, "at %" PRIu64 " ms: fault %zu", site->now_ms, kind);
