core: orders to a worker that has restarted have a higher token

Cause: a worker that restarts under its id forgets the fencing token and the stops of runs, and its clock starts anew. A start that was delayed by seconds on its way to the earlier process has a token and a deadline that the new one accepts, after the stop was acknowledged and the task started elsewhere. The simulation's workers kept their clocks, so that the deadline hid it. Change: the leader's token for a worker rises by one with each restart that it notices, within four tokens of its claim. A refusal of an order with an earlier token does not mean that another instance holds the worker. Claims have 12 low bits instead of 11, so that 1,024 owners and four tokens fit. Why it works: once the new process has been called, it refuses what was sent to the earlier one, also by a former leader. Before its first call it does not: that is left, and known red (test_lease_restart). Before / after: test_delayed_start_reaches_a_restarted_worker fails / passes.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/lease_pool.h"
 
 #define FOLLOWER_BEAT_MS 1000 /* between two members that do not lead */
 /*
@@ -32,9 +33,11 @@
  */
 #define ELECTION_MS 300
 /*
- * Low bits of a claim, which with the milliseconds since 1970 stays below 2^53.
+ * Low bits of a claim, which with the milliseconds since 1970 stays below 2^53
+ * until 2039. The lowest of them are left to the leader's pool.
  */
-#define CLAIM_OWNER_BITS 11
+#define CLAIM_LOW_BITS 12
+#define CLAIM_OWNERS ((1 << CLAIM_LOW_BITS) / POOL_FENCE_STEPS)
 #define MAX_CLAIM ((UINT64_C(1) << 53) - 1)
 #define PREFERRED_WEIGHT 1000000 /* above all processor shares */
 /*
@@ -432,12 +435,12 @@
 static uint64_t next_claim(const struct leadership *leadership,
 			   uint64_t wall_ms)
 {
-	uint64_t highest_ms = leadership->highest_claim >> CLAIM_OWNER_BITS;
+	uint64_t highest_ms = leadership->highest_claim >> CLAIM_LOW_BITS;
 	uint64_t ms = wall_ms > highest_ms ? wall_ms : highest_ms + 1;
 	uint64_t own = leadership->options.incarnation ^
 		       leadership->options.incarnation >> 32;
 
-	return ms << CLAIM_OWNER_BITS | (own & ((1 << CLAIM_OWNER_BITS) - 1));
+	return ms << CLAIM_LOW_BITS | own % CLAIM_OWNERS * POOL_FENCE_STEPS;
 }
 
 /*
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -54,11 +54,21 @@
 	return worker;
 }
 
+uint64_t pool_fence_of(const struct lease_pool *pool,
+		       const struct pool_worker *worker)
+{
+	return pool->fence + worker->fence_step;
+}
+
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
 	pool_close_previous_runs(pool, worker, now_ms);
 	worker->state = POOL_UNHELD;
+#ifndef BREAK_FENCE_STEP
+	if (worker->fence_step < POOL_FENCE_STEPS - 1)
+		worker->fence_step++;
+#endif
 	worker->hold_serial = 0; /* ignores an answer of the old process */
 	worker->hold_pending = false;
 	worker->ends_read = worker->ends_acked = 0;
@@ -365,7 +375,8 @@
 		log_warning(LOG_TARGET,
 			    "worker %s: refused our fencing token %" PRIu64
 			    ", obeys another instance; %u open runs",
-			    worker->id, pool->fence, worker->run_count);
+			    worker->id, pool_fence_of(pool, worker),
+			    worker->run_count);
 		worker->foreign_ms = now_ms;
 	}
 	worker->state = POOL_FOREIGN;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -106,6 +106,7 @@
 	uint32_t run_count;
 	uint32_t unwanted_count; /* of open runs; see is_unwanted */
 	bool hold_renews; /* the last hold renews the lease */
+	uint32_t fence_step; /* see POOL_FENCE_STEPS */
 	size_t slot; /* index in the pool's slots */
 };
 
@@ -132,6 +133,7 @@
 	enum pool_run_state state;
 	struct step_job_demand demand;
 	uint32_t estimate_ms;
+	uint64_t fence; /* of the last start or stop that was sent */
 	uint64_t sent_ms;
 	uint64_t answered_ms; /* when the start was acknowledged */
 	uint64_t close_at_ms; /* it has ended by then; 0: unknown */
@@ -278,9 +280,17 @@
 void pool_unregister_worker(struct lease_pool *pool, const char *id,
 			    uint64_t now_ms);
 
+/*
+ * A worker that restarts forgets the fencing token, the stops and its clock, so
+ * that it would carry out an order that was sent to its earlier process and has
+ * been delayed. So the token of later orders to it is one higher, up to this
+ * number of tokens for one leader.
+ */
+#define POOL_FENCE_STEPS 4
+
 /*
  * Makes this instance the leader, which sends holds to all workers. fence is
- * a fencing token higher than any before.
+ * a fencing token at least POOL_FENCE_STEPS higher than any before.
  */
 void pool_lead(struct lease_pool *pool, uint64_t fence, uint64_t now_ms);
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -93,7 +93,7 @@
 		.address = worker->address,
 		.data_centre = worker->data_centre,
 		.serial = ++pool->next_serial,
-		.fence = pool->fence,
+		.fence = pool_fence_of(pool, worker),
 		.ends_read = ends_to_acknowledge(worker, now_ms),
 		.wait_ms = wait_ms,
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
@@ -213,6 +213,7 @@
 	pool->probe_due_ms = 0;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		worker->state = POOL_UNHELD;
+		worker->fence_step = 0;
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		worker->failures = 0;
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -241,10 +241,11 @@
 		.data_centre = run->worker->data_centre,
 		.task = run->name,
 		.number = run->number,
-		.fence = pool->fence,
+		.fence = pool_fence_of(pool, run->worker),
 		.timeout_ms = STOP_TIMEOUT_MS,
 	};
 
+	run->fence = call.fence;
 	run->stop_at_ms = 0;
 	run->stop_retry_ms = now_ms + STOP_TIMEOUT_MS * 2;
 	counter_add(COUNTER_TASKS_STOPPED, 1);
@@ -266,10 +267,11 @@
 		.text = text,
 		.deadline_ms = pool_worker_clock(worker, now_ms) +
 			       pool->options.lease_ms,
-		.fence = pool->fence,
+		.fence = pool_fence_of(pool, worker),
 		.timeout_ms = START_TIMEOUT_MS,
 	};
 
+	run->fence = call.fence;
 	run->state = POOL_STARTING;
 	run->sent_ms = now_ms;
 	run->started_here = true;
@@ -385,8 +387,11 @@
 			pool_send_hold(pool, worker, 0, now_ms);
 		break;
 	case POOL_FENCED:
+		if (run->state == POOL_STOPPING)
+			break; /* the answer to the stop decides */
+		if (run->fence == pool_fence_of(pool, worker))
+			pool_mark_foreign(pool, worker, now_ms);
 		pool_close_run(pool, run, POOL_NOT_RUN, now_ms);
-		pool_mark_foreign(pool, worker, now_ms);
 		break;
 	case POOL_RESTARTED:
 		pool_reset_worker(pool, worker, now_ms);
@@ -423,7 +428,10 @@
 		if (!run->answered_ms && worker->state == POOL_HELD)
 			pool_send_hold(pool, worker, 0, now_ms);
 	} else if (reply->answer == POOL_FENCED) {
-		pool_mark_foreign(pool, worker, now_ms);
+		if (run->fence == pool_fence_of(pool, worker))
+			pool_mark_foreign(pool, worker, now_ms);
+		else
+			run->stop_retry_ms = now_ms;
 	} else if (reply->answer == POOL_RESTARTED) {
 		pool_reset_worker(pool, worker, now_ms);
 	}
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -60,6 +60,10 @@
 
 struct pool_worker *pool_find_worker(struct lease_pool *pool, const char *id);
 
+/* Returns the fencing token of orders to a worker. */
+uint64_t pool_fence_of(const struct lease_pool *pool,
+		       const struct pool_worker *worker);
+
 /* To be called when the worker's speed, capacity or reservations change. */
 void pool_update_slot(struct lease_pool *pool, struct pool_worker *worker);
 
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -89,6 +89,7 @@
 	struct hold holds[MAX_NODES];
 	bool has_holds; /* one of them may wait */
 	uint64_t born; /* start time in ms */
+	uint64_t clock_start_ms; /* when its own clock was 0 */
 };
 
 struct node {
@@ -459,6 +460,11 @@
 
 /* Workers */
 
+static uint64_t clock_of(const struct site *site, const struct worker *w)
+{
+	return site->now_ms - w->clock_start_ms;
+}
+
 static struct seen_run *get_seen_run(struct worker *w, const char *task)
 {
 	struct seen_run *seen_run;
@@ -567,6 +573,16 @@
 	return job->attempts;
 }
 
+/* A longer lease is shortened to the longest one. */
+static void prolong_lease(const struct site *site, struct worker *w,
+			  uint64_t deadline_ms)
+{
+	if (deadline_ms > clock_of(site, w) + LEASE_MS)
+		deadline_ms = clock_of(site, w) + LEASE_MS;
+	if (deadline_ms > w->lease_ms)
+		w->lease_ms = deadline_ms;
+}
+
 static enum pool_answer start_run(struct site *site, struct worker *w,
 				  const struct event *e)
 {
@@ -574,7 +590,7 @@
 	uint32_t attempt;
 	struct run *run;
 
-	if (e->deadline_ms <= site->now_ms)
+	if (e->deadline_ms <= clock_of(site, w))
 		return POOL_DEADLINE_PASSED;
 	for (size_t i = 0; i < w->run_count; i++)
 		if (w->runs[i].number == e->number &&
@@ -598,8 +614,7 @@
 	run->started_ms = site->now_ms;
 	run->ends_ms = site->now_ms + MIN_RUN_MS +
 		       random_below(&site->random, 2 * task_ms(site));
-	if (e->deadline_ms > w->lease_ms)
-		w->lease_ms = e->deadline_ms;
+	prolong_lease(site, w, e->deadline_ms);
 	return POOL_OK;
 }
 
@@ -635,7 +650,7 @@
 			 " ms, token %" PRIu64,
 			 site->now_ms, e->node, w->id, w->lease_ms,
 			 e->deadline_ms, e->fence);
-		w->lease_ms = e->deadline_ms;
+		prolong_lease(site, w, e->deadline_ms);
 	}
 	if (e->unanswered)
 		return; /* a late hold does not replace the waiting one */
@@ -663,7 +678,7 @@
 	reply->worker = e->worker;
 	reply->token = e->token;
 	reply->reply.answer = answer;
-	reply->reply.clock_ms = site->now_ms;
+	reply->reply.clock_ms = clock_of(site, e->worker);
 	reply->reply.born_ms = e->worker->born;
 }
 
@@ -710,7 +725,7 @@
 	struct pool_listed_end ended[MAX_ENDS];
 	struct pool_lists lists = { running, w->run_count, ended,
 				    w->end_count };
-	struct pool_reply reply = { POOL_OK, site->now_ms, w->born };
+	struct pool_reply reply = { POOL_OK, clock_of(site, w), w->born };
 
 	for (size_t i = 0; i < w->run_count; i++)
 		running[i] = (struct pool_listed_run){ w->runs[i].task,
@@ -736,7 +751,7 @@
 static void step_worker(struct site *site, struct worker *w)
 {
 	for (size_t i = 0; i < w->run_count; i++)
-		if (w->lease_ms <= site->now_ms)
+		if (w->lease_ms <= clock_of(site, w))
 			end_run(w, i--, POOL_LAPSED);
 		else if (w->runs[i].ends_ms <= site->now_ms)
 			end_run(w, i--, POOL_DONE);
@@ -1096,13 +1111,21 @@
 						       site->options->workers)];
 	struct seen_run *seen_run, *next;
 
-	for (uint32_t n = 0; n < site->options->instances; n++)
-		if (w->holds[n].waits)
+	for (uint32_t n = 0; n < site->options->instances; n++) {
+		if (!w->holds[n].waits)
+			continue;
+		if (site->options->worker_clocks)
+			time_out(&site->nodes[n], ORDER_HOLD, w,
+				 w->holds[n].serial, NETWORK_MS);
+		else
 			lose_hold(site, w, (int)n);
+	}
 	w->run_count = w->end_count = 0;
 	w->last_end = 0;
 	w->fence = 0;
 	w->lease_ms = 0;
+	if (site->options->worker_clocks)
+		w->clock_start_ms = site->now_ms;
 	w->born += 1000;
 	memset(w->holds, 0, sizeof(w->holds));
 	HASH_ITER(hh, w->seen_runs, seen_run, next) {
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -35,6 +35,11 @@
 	 * may have run, and lose connections to instances that work on.
 	 */
 	bool more_resends;
+	/*
+	 * The clock of a worker that restarts starts anew, so that orders to
+	 * its earlier process have not expired; its connections are closed.
+	 */
+	bool worker_clocks;
 	uint64_t seed;
 };
 
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1101,6 +1101,43 @@
 }
 END_TEST
 
+static const struct fake_orders_hold *last_hold(const char *worker)
+{
+	size_t i = fake->hold_count;
+
+	while (i--)
+		if (!strcmp(fake->holds[i % FAKE_ORDERS_MAX].worker, worker))
+			return &fake->holds[i % FAKE_ORDERS_MAX];
+	return NULL;
+}
+
+/*
+ * Once a restarted worker has been called, it refuses orders that were sent to
+ * its earlier process and have been delayed.
+ */
+START_TEST(test_delayed_start_reaches_a_restarted_worker)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	const struct pool_worker *worker;
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 8);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(last_hold("w1")->fence, 8);
+	fake_orders_restart_worker(fake, "w1", 2);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	ck_assert_uint_gt(last_hold("w1")->fence, 8);
+	ck_assert_uint_lt(last_hold("w1")->fence, 8 + POOL_FENCE_STEPS);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	/* The refusal does not mean that another instance holds the worker. */
+	fake_orders_answer_start(fake, fake_orders_started(fake, TASK),
+				 POOL_FENCED);
+	worker = TAILQ_FIRST(pool_workers(lease_pool(fake->dispatch)));
+	ck_assert_int_eq(worker->state, POOL_HELD);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1134,5 +1171,6 @@
 		test_unanswered_start_is_looked_up,
 		test_slow_answers_are_not_looked_up, test_slow_start_goes_on,
 		test_jobs_handed_over_are_no_arrivals,
-		test_fenced_off_is_no_overload);
+		test_fenced_off_is_no_overload,
+		test_delayed_start_reaches_a_restarted_worker);
 }
--- a/packages/core/tests/test_lease_lost_entry.c
+++ b/packages/core/tests/test_lease_lost_entry.c
@@ -268,7 +268,7 @@
 	other = 1 - index_of(started_on);
 	advance_with_beats(500, true);
 	/* The other worker obeys an instance whose claim OTHER knows. */
-	receive_beat(OTHER, UINT64_C(1790000001000) << 11);
+	receive_beat(OTHER, UINT64_C(1790000001000) << 12);
 	fenced[other] = true;
 	waits[other] = false;
 	lease_node_hold_answered(node, other ? "w2" : "w1", serials[other],
--- /dev/null
+++ b/packages/core/tests/test_lease_restart.c
@@ -0,0 +1,52 @@
+/*
+ * As test_lease_long, with workers whose clocks start anew when they restart:
+ * an order that was delayed for seconds has not expired there.
+ *
+ * Plays the seeds that failed.
+ */
+#include "base/tests/run_suite.h"
+#include "fake_site.h"
+
+static const struct {
+	uint64_t seed;
+	uint32_t direct_workers;
+	bool more_resends;
+} failed[] = {
+	{ 139, 0, false }, { 195, 0, false }, { 198, 0, true },
+	{ 403, 0, true },  { 881, 0, true },  { 1697, 1, true },
+};
+
+START_TEST(test_two_runs_after_a_delayed_order)
+{
+	struct fake_site_options options = {
+		.instances = 3 + (uint32_t)(failed[_i].seed % 3),
+		.workers = 8,
+		.direct_workers = failed[_i].direct_workers,
+		.length_ms = 20000,
+		.jobs_per_s = 8,
+		.task_ms = 900,
+		.faults_per_s = 2,
+		.more_resends = failed[_i].more_resends,
+		.worker_clocks = true,
+		.first_start = failed[_i].seed % 2 == 0,
+		.seed = failed[_i].seed,
+	};
+	struct fake_site_result r;
+
+	fake_site_run(&options, &r);
+	ck_assert_msg(!r.duplicate_runs && !r.resent_runs && !r.repeated_runs,
+		      "seed %d: %s", (int)failed[_i].seed, r.first_error);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("lease_restart");
+	TCase *tc = tcase_create("lease_restart");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, test_two_runs_after_a_delayed_order, 0,
+			    (int)(sizeof(failed) / sizeof(failed[0])));
+	suite_add_tcase(suite, tc);
+	return run_suite(suite);
+}
