core/tests: enumerate the orders of faults around one run

Change: fake_scenario plays one task on three instances and two workers, with faults at given times. Beyond fake_site it has workers whose clocks are slow and start anew, orders that are late to a restarted worker, messages that arrive after a cut, links that close when their ends notice, callers who hang up. test_lease_orders plays all orders of the 65 faults up to BERGAMOT_DEPTH over a grid of five times, under the settings that matter to them, and leaves out faults that a second run does not need.

--- /dev/null
+++ b/packages/core/tests/fake_scenario.h
@@ -0,0 +1,85 @@
+#ifndef CORE_TESTS_FAKE_SCENARIO_H
+#define CORE_TESTS_FAKE_SCENARIO_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Plays one scenario: one task, which outlasts the scenario, on a site of three
+ * instances and two workers, with faults at given times. Instance 0 leads at
+ * the start. The caller sends the job again on a lost connection and on a job
+ * that was given up. Nothing is random. Workers keep the platform's rules; a
+ * worker that restarts remembers nothing and starts its clock anew.
+ *
+ * Not for many jobs, nor for faults generated from a seed: see fake_site.h.
+ */
+
+#define SCENARIO_NODES 3
+#define SCENARIO_WORKERS 2
+#define SCENARIO_MAX_FAULTS 6
+
+enum scenario_kind {
+	SCENARIO_CUT_LINK, /* between instances a and b */
+	SCENARIO_CUT_ONE_WAY, /* from instance a to instance b */
+	SCENARIO_CUT_WORKER, /* between instance a and worker b */
+	/* Instances in the bits of a, workers in those of b, from all others */
+	SCENARIO_PARTITION,
+	SCENARIO_HEAL, /* all cuts */
+	SCENARIO_HEAL_WORKERS, /* all cuts between instances and workers */
+	SCENARIO_FREEZE, /* instance a for b ms */
+	SCENARIO_KILL, /* instance a, which is started again 1 s later */
+	SCENARIO_STOP, /* instance a, as planned */
+	SCENARIO_RESET_LINK, /* between instances a and b */
+	SCENARIO_RESTART_WORKER, /* worker a, down for b ms */
+	SCENARIO_LOSE_ANSWER, /* the next one of worker a */
+	SCENARIO_DELAY_START, /* the next one to worker a is late by 2 s */
+	SCENARIO_DELAY_HOLD,
+	SCENARIO_DELAY_STOP,
+	SCENARIO_HANG_UP, /* the caller's connection is lost */
+	SCENARIO_KIND_COUNT,
+};
+
+struct scenario_fault {
+	uint32_t at_ms; /* after the job is sent; at 0 before it */
+	enum scenario_kind kind;
+	uint32_t a;
+	uint32_t b;
+};
+
+struct scenario {
+	uint32_t direct_workers; /* 1: relays call the workers; 0: default */
+	uint32_t entry; /* the instance that gets the job first */
+	uint32_t resend_entry; /* and later, or the next one that is up */
+	bool keeps_messages; /* sent during a cut, they arrive afterwards */
+	bool announces; /* a restarted worker's registration arrives */
+	bool ticks_first; /* after a freeze, timers run before messages */
+	struct scenario_fault faults[SCENARIO_MAX_FAULTS];
+	size_t fault_count;
+	bool trace; /* print what happens */
+};
+
+struct scenario_result {
+	bool two_runs; /* a run started while another one was open */
+	bool resent; /* and its caller had sent the job again between them */
+	bool without_effect; /* a fault changed nothing */
+	bool no_start; /* the task was not started at all */
+	uint32_t attempts; /* of the caller */
+	uint64_t at_ms; /* of the second run's start, as for faults */
+	char text[200]; /* describes the two runs */
+};
+
+/* Plays a scenario up to its end or to the start of a second run. */
+void scenario_play(const struct scenario *scenario,
+		   struct scenario_result *result);
+
+/*
+ * Read and print a scenario, such as "1 2 0 0 0 1 300:cut_worker(0,1)": entry,
+ * resend_entry, direct_workers, keeps_messages, announces, ticks_first, then
+ * the faults with their times. scenario_read returns false if it cannot be
+ * parsed.
+ */
+bool scenario_read(struct scenario *scenario, const char *text);
+void scenario_print(const struct scenario *scenario);
+
+#endif
--- /dev/null
+++ b/packages/core/tests/test_lease_orders.c
@@ -0,0 +1,342 @@
+/*
+ * No task has two runs at once, in whatever order faults follow each other
+ * around its run: enumerates the orders of a few faults over a grid of times,
+ * with real instances on a simulated site, and reports the shortest case of
+ * each order of kinds that starts a second run.
+ *
+ * BERGAMOT_DEPTH is the number of faults. BERGAMOT_STRIDE is the step from one
+ * order to the next that is played, BERGAMOT_SEED the number of the first one.
+ * BERGAMOT_PLAY plays one scenario, as printed, and with BERGAMOT_SHOW prints
+ * what happens in it. BERGAMOT_LOG is the path of the instances' log lines,
+ * which need CK_FORK=no.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "base/tests/run_suite.h"
+#include "fake_scenario.h"
+
+/* Sanitized builds take up to 25 times as long. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define STRIDE 11
+#else
+#define STRIDE 1
+#endif
+#define MAX_FOUND 200
+#define MAX_FAULTS 100 /* different ones */
+
+/* Times after the fault before; the first one counts from the job on. */
+static const uint32_t gaps_ms[] = { 0, 100, 300, 700, 1300, 5, 2100 };
+#define GAP_COUNT 5
+
+struct fault_list {
+	struct scenario_fault faults[MAX_FAULTS];
+	size_t count;
+};
+
+struct found {
+	struct scenario scenario;
+	struct scenario_result result;
+	uint64_t seen;
+};
+
+struct search {
+	struct fault_list list;
+	struct found found[MAX_FOUND];
+	size_t found_count;
+	uint64_t played;
+	uint64_t without_effect;
+	uint64_t two_runs;
+	uint64_t resent;
+};
+
+static uint64_t number_of(const char *name, uint64_t otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? strtoull(text, NULL, 10) : otherwise;
+}
+
+static void add(struct fault_list *list, enum scenario_kind kind, uint32_t a,
+		uint32_t b)
+{
+	list->faults[list->count++] =
+		(struct scenario_fault){ .kind = kind, .a = a, .b = b };
+}
+
+static void list_faults(struct fault_list *list)
+{
+	static const uint32_t freezes_ms[] = { 300, 700, 1500, 3000 };
+
+	for (uint32_t a = 0; a < SCENARIO_NODES; a++) {
+		add(list, SCENARIO_KILL, a, 0);
+		add(list, SCENARIO_STOP, a, 0);
+		for (size_t i = 0; i < 4; i++)
+			add(list, SCENARIO_FREEZE, a, freezes_ms[i]);
+		for (uint32_t b = 0; b < a; b++) {
+			add(list, SCENARIO_CUT_LINK, a, b);
+			add(list, SCENARIO_CUT_ONE_WAY, a, b);
+			add(list, SCENARIO_CUT_ONE_WAY, b, a);
+			add(list, SCENARIO_RESET_LINK, a, b);
+		}
+		for (uint32_t w = 0; w < SCENARIO_WORKERS; w++)
+			add(list, SCENARIO_CUT_WORKER, a, w);
+		/* With none, one or all of the workers on its side. */
+		for (uint32_t w = 0; w < 1 << SCENARIO_WORKERS; w++)
+			add(list, SCENARIO_PARTITION, 1 << a, w);
+	}
+	for (uint32_t w = 0; w < SCENARIO_WORKERS; w++) {
+		add(list, SCENARIO_PARTITION, 0, 1 << w);
+		add(list, SCENARIO_RESTART_WORKER, w, 0);
+		add(list, SCENARIO_RESTART_WORKER, w, 500);
+		add(list, SCENARIO_LOSE_ANSWER, w, 0);
+		add(list, SCENARIO_DELAY_START, w, 0);
+		add(list, SCENARIO_DELAY_HOLD, w, 0);
+		add(list, SCENARIO_DELAY_STOP, w, 0);
+	}
+	add(list, SCENARIO_HEAL, 0, 0);
+	add(list, SCENARIO_HEAL_WORKERS, 0, 0);
+	add(list, SCENARIO_HANG_UP, 0, 0);
+}
+
+/* Takes a digit off a number that is written in a mixed base. */
+static uint32_t take_digit(uint64_t *number, uint64_t base)
+{
+	uint32_t digit = (uint32_t)(*number % base);
+
+	*number /= base;
+	return digit;
+}
+
+static uint64_t count_orders(const struct search *search, uint32_t depth)
+{
+	uint64_t count = 1;
+
+	for (uint32_t i = 0; i < depth; i++)
+		count *= search->list.count * GAP_COUNT;
+	return count;
+}
+
+/*
+ * Sets the faults of an order. Returns false if two of them at the same time
+ * are in the other order than in the list: these change nothing of each other.
+ */
+static bool decode(const struct search *search, uint64_t number, uint32_t depth,
+		   struct scenario *s)
+{
+	uint32_t at_ms = 0;
+	uint32_t last = 0;
+
+	memset(s, 0, sizeof(*s));
+	s->fault_count = depth;
+	for (uint32_t i = 0; i < depth; i++) {
+		uint32_t fault = take_digit(&number, search->list.count);
+		uint32_t gap_ms = gaps_ms[take_digit(&number, GAP_COUNT)];
+
+		if (i && !gap_ms && fault < last)
+			return false;
+		last = fault;
+		at_ms += gap_ms;
+		s->faults[i] = search->list.faults[fault];
+		s->faults[i].at_ms = at_ms;
+	}
+	return true;
+}
+
+static bool has_kind(const struct scenario *s, enum scenario_kind from,
+		     enum scenario_kind to)
+{
+	for (size_t i = 0; i < s->fault_count; i++)
+		if (s->faults[i].kind >= from && s->faults[i].kind <= to)
+			return true;
+	return false;
+}
+
+static bool has_two_runs(const struct scenario *s,
+			 struct scenario_result *result)
+{
+	scenario_play(s, result);
+	return result->two_runs;
+}
+
+/* Leaves out faults that the second run does not need. */
+static void shorten(struct scenario *s, struct scenario_result *result)
+{
+	for (size_t i = 0; i < s->fault_count; i++) {
+		struct scenario less = *s;
+		struct scenario_result r;
+
+		less.fault_count--;
+		memmove(&less.faults[i], &less.faults[i + 1],
+			(less.fault_count - i) * sizeof(*less.faults));
+		if (!has_two_runs(&less, &r) || r.resent != result->resent)
+			continue;
+		*s = less;
+		*result = r;
+		i = (size_t)-1;
+	}
+}
+
+static bool is_same_way(const struct found *f, const struct scenario *s,
+			const struct scenario_result *result)
+{
+	if (f->scenario.fault_count != s->fault_count ||
+	    f->result.resent != result->resent)
+		return false;
+	for (size_t i = 0; i < s->fault_count; i++)
+		if (f->scenario.faults[i].kind != s->faults[i].kind)
+			return false;
+	return true;
+}
+
+static void note_found(struct search *search, struct scenario *s,
+		       struct scenario_result *result)
+{
+	struct found *f = search->found;
+
+	shorten(s, result);
+	for (; f < search->found + search->found_count; f++)
+		if (is_same_way(f, s, result)) {
+			f->seen++;
+			return;
+		}
+	if (search->found_count == MAX_FOUND)
+		return;
+	search->found_count++;
+	f->scenario = *s;
+	f->result = *result;
+	f->seen = 1;
+	printf("%s: %s\n  ", result->resent ? "resent" : "same attempt",
+	       result->text);
+	scenario_print(s);
+	fflush(stdout);
+}
+
+/* Returns the number of attempts of the caller. */
+static uint32_t play_scenario(struct search *search, struct scenario *s)
+{
+	struct scenario_result result;
+	uint32_t attempts;
+
+	scenario_play(s, &result);
+	attempts = result.attempts;
+	search->played++;
+	search->without_effect += result.without_effect;
+	search->two_runs += result.two_runs && !result.resent;
+	search->resent += result.two_runs && result.resent;
+	if (result.two_runs)
+		note_found(search, s, &result);
+	return attempts;
+}
+
+/* Plays an order under all settings that make a difference to it. */
+static void play_order(struct search *search, const struct scenario *order)
+{
+	bool cuts = has_kind(order, SCENARIO_CUT_LINK, SCENARIO_PARTITION);
+	bool restarts = has_kind(order, SCENARIO_RESTART_WORKER,
+				 SCENARIO_RESTART_WORKER);
+	bool freezes = has_kind(order, SCENARIO_FREEZE, SCENARIO_FREEZE);
+
+	for (uint32_t i = 0; i < 32; i++) {
+		struct scenario s = *order;
+		uint32_t attempts = 2;
+
+		s.entry = i & 1;
+		s.direct_workers = i >> 1 & 1;
+		s.keeps_messages = i >> 2 & 1;
+		s.announces = i >> 3 & 1;
+		s.ticks_first = i >> 4 & 1;
+		if ((s.keeps_messages && !cuts) || (s.announces && !restarts) ||
+		    (s.ticks_first && !freezes))
+			continue;
+		for (uint32_t to = 0; to < SCENARIO_NODES && attempts > 1;
+		     to++) {
+			struct scenario sent_again = s;
+
+			sent_again.resend_entry = to;
+			attempts = play_scenario(search, &sent_again);
+		}
+	}
+}
+
+static void print_found(const struct search *search)
+{
+	printf("%llu scenarios, %llu with a fault of no effect, two runs in "
+	       "%llu, of a job sent again in %llu more; %zu orders:\n",
+	       (unsigned long long)search->played,
+	       (unsigned long long)search->without_effect,
+	       (unsigned long long)search->two_runs,
+	       (unsigned long long)search->resent, search->found_count);
+	for (size_t i = 0; i < search->found_count; i++) {
+		const struct found *f = &search->found[i];
+
+		printf("%s, %llu times: ",
+		       f->result.resent ? "resent" : "same attempt",
+		       (unsigned long long)f->seen);
+		scenario_print(&f->scenario);
+	}
+	fflush(stdout);
+}
+
+static void play_named(const char *text)
+{
+	struct scenario s;
+	struct scenario_result result;
+
+	ck_assert(scenario_read(&s, text));
+	s.trace = getenv("BERGAMOT_SHOW") != NULL;
+	scenario_play(&s, &result);
+	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
+}
+
+START_TEST(test_two_runs_in_any_order)
+{
+	static struct search search;
+	uint32_t depth = (uint32_t)number_of("BERGAMOT_DEPTH", 1);
+	uint64_t stride = number_of("BERGAMOT_STRIDE", STRIDE);
+	struct scenario s;
+
+	if (getenv("BERGAMOT_PLAY")) {
+		play_named(getenv("BERGAMOT_PLAY"));
+		return;
+	}
+	memset(&search, 0, sizeof(search));
+	list_faults(&search.list);
+	for (uint64_t i = number_of("BERGAMOT_SEED", 0);
+	     i < count_orders(&search, depth); i += stride)
+		if (decode(&search, i, depth, &s))
+			play_order(&search, &s);
+	print_found(&search);
+	ck_assert_uint_eq(search.two_runs + search.resent, 0);
+}
+END_TEST
+
+/* Writes the instances' log lines to the path in BERGAMOT_LOG, if set. */
+static void open_log(void)
+{
+	struct log_options options = {
+		.path = getenv("BERGAMOT_LOG"),
+		.level = LOG_LEVEL_INFO,
+		.queue_lines = 100000,
+	};
+
+	if (options.path && !log_open(&options))
+		printf("%s cannot be written\n", options.path);
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("lease_orders");
+	TCase *tc = tcase_create("lease_orders");
+	int status;
+
+	open_log();
+	tcase_set_timeout(tc, 3600);
+	tcase_add_test(tc, test_two_runs_in_any_order);
+	suite_add_tcase(suite, tc);
+	status = run_suite(suite);
+	log_close();
+	return status;
+}
