core/tests: orders kept in a cut need a connection to the worker's process

Cause: fake_scenario delivered, after a cut, starts that had been sent to a worker while it had restarted unnoticed; a connection to its former process is reset, and a new one is given up with the call.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -109,6 +109,7 @@
 	char task[STEP_JOB_TASK_BYTES];
 	bool loses_answer;
 	bool delays[CALL_KINDS];
+	bool connected[SCENARIO_NODES]; /* to its present process */
 };
 
 struct node {
@@ -397,6 +398,14 @@
 	return call;
 }
 
+static void send_order(struct play *play, struct event *order, bool is_cut,
+		       uint64_t delay_ms)
+{
+	if (!is_cut || play->scenario->keeps_messages)
+		play->event_count++;
+	send_event(play, order, is_cut, delay_ms);
+}
+
 static void send_call(struct node *node, struct call *call, uint32_t timeout_ms)
 {
 	struct play *play = node->play;
@@ -412,9 +421,11 @@
 		trace(play, "the order to %s is late", w->id);
 	}
 	order->call = call;
-	if (!is_cut || play->scenario->keeps_messages)
-		play->event_count++;
-	send_event(play, order, is_cut, delay_ms);
+	/* Only an open connection keeps it: a new one is given up. */
+	if (is_cut && !w->connected[node->index])
+		talloc_free(order);
+	else
+		send_order(play, order, is_cut, delay_ms);
 	schedule_event(play, EV_TIMEOUT, node, timeout_ms)->call = call;
 }
 
@@ -630,6 +641,7 @@
 		answer_call(play, call, POOL_NOT_SENT);
 		return;
 	}
+	w->connected[call->node] = true;
 	if (call->fence < w->fence) {
 		answer_call(play, call, POOL_FENCED);
 		return;
@@ -674,6 +686,7 @@
 	w->clock_since_ms = play->now_ms;
 	w->fence = w->lease_ms = w->last_end = 0;
 	w->refused_number = 0;
+	memset(w->connected, 0, sizeof(w->connected));
 	w->run_count = w->end_count = 0;
 	TAILQ_INIT(&w->holds);
 }
