core/tests: workers that drain or lapse from the list, leaders that are late

Cause: fake_scenario had no fault by which a worker is missing from the list while it runs, and none by which a leader gives up its claim with all links healthy. Change: the kinds drain, unregister and overload.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -25,6 +25,7 @@
 #define RESTART_MS 1000 /* until a killed instance is started again */
 #define STOP_LIMIT_MS 1500
 #define REGISTRATION_MS 700 /* until instances read it */
+#define OVERLOAD_LAG_MS 200
 #define RESEND_MS 1300
 #define CALLER_DEADLINE_MS 20000
 #define DIAL_PERIOD_MS 500
@@ -54,6 +55,9 @@
 	[SCENARIO_DELAY_START] = "delay_start",
 	[SCENARIO_DELAY_HOLD] = "delay_hold",
 	[SCENARIO_DELAY_STOP] = "delay_stop",
+	[SCENARIO_DRAIN] = "drain",
+	[SCENARIO_UNREGISTER] = "unregister",
+	[SCENARIO_OVERLOAD] = "overload",
 	[SCENARIO_HANG_UP] = "hang_up",
 };
 
@@ -97,6 +101,8 @@
 	uint64_t clock_base_ms;
 	uint64_t clock_since_ms;
 	uint64_t down_until_ms;
+	bool draining;
+	uint64_t unregistered_until_ms;
 	uint64_t fence;
 	uint64_t lease_ms; /* on its clock */
 	uint32_t refused_number; /* this run and lower ones never start */
@@ -123,6 +129,7 @@
 	uint64_t frozen_until_ms;
 	uint64_t restart_ms;
 	uint64_t stop_ends_ms;
+	uint64_t overloaded_until_ms;
 	bool flush_due;
 	bool leads; /* as last traced */
 	uint64_t linked[SCENARIO_NODES]; /* incarnations; 0: no link */
@@ -737,8 +744,15 @@
 		.labels = labels,
 		.capacity = { CAPACITY_MILLI, 32768, 0 },
 		.born_ms = play->workers[i].born_ms,
+		.draining = play->workers[i].draining,
 	};
 
+	if (play->workers[i].unregistered_until_ms > play->now_ms) {
+		lease_node_worker_removed(node->lease_node, registration.id,
+					  play->now_ms);
+		return;
+	}
+
 	lease_node_worker_listed(node->lease_node, &registration, play->now_ms);
 }
 
@@ -764,6 +778,7 @@
 
 	node->lives++;
 	node->restart_ms = node->stop_ends_ms = node->frozen_until_ms = 0;
+	node->overloaded_until_ms = 0;
 	node->flush_due = false;
 	node->incarnation = (uint64_t)(node->index + 1) * 1000 + node->lives;
 	options.incarnation = node->incarnation;
@@ -807,6 +822,8 @@
 {
 	bool leads;
 
+	if (node->overloaded_until_ms > play->now_ms)
+		lease_node_record_lag(node->lease_node, OVERLOAD_LAG_MS);
 	lease_node_tick(node->lease_node, play->now_ms);
 	leads = lease_node_leads(node->lease_node);
 	if (leads != node->leads)
@@ -1000,6 +1017,42 @@
 	}
 }
 
+/* Instances read the worker's registration anew. */
+static void announce(struct play *play, const struct worker *w,
+		     uint64_t delay_ms)
+{
+	for (int i = 0; i < SCENARIO_NODES; i++)
+		schedule_event(play, EV_LISTED, &play->nodes[i], delay_ms)
+			->worker = (int)(w - play->workers);
+}
+
+static bool drain_worker(struct play *play, struct worker *w)
+{
+	bool changed = set_cut(&w->draining);
+
+	announce(play, w, 0);
+	return changed;
+}
+
+static bool unregister_worker(struct play *play, struct worker *w,
+			      uint32_t for_ms)
+{
+	if (w->unregistered_until_ms > play->now_ms)
+		return false;
+	w->unregistered_until_ms = play->now_ms + for_ms;
+	announce(play, w, 0);
+	announce(play, w, for_ms);
+	return true;
+}
+
+static bool overload_node(struct play *play, struct node *node, uint32_t ms)
+{
+	if (!is_running(play, node))
+		return false;
+	node->overloaded_until_ms = play->now_ms + ms;
+	return true;
+}
+
 static bool restart_worker(struct play *play, struct worker *w,
 			   uint32_t down_ms)
 {
@@ -1008,10 +1061,9 @@
 	w->down_until_ms = play->now_ms + down_ms;
 	w->clock_since_ms = w->down_until_ms;
 	w->born_ms += down_ms;
-	for (int i = 0; play->scenario->announces && i < SCENARIO_NODES; i++)
-		schedule_event(play, EV_LISTED, &play->nodes[i],
-			       down_ms + REGISTRATION_MS)
-			->worker = (int)(w - play->workers);
+	w->draining = false;
+	if (play->scenario->announces)
+		announce(play, w, down_ms + REGISTRATION_MS);
 	return true;
 }
 
@@ -1078,6 +1130,12 @@
 		return delay_call(play, f->a, CALL_HOLD);
 	case SCENARIO_DELAY_STOP:
 		return delay_call(play, f->a, CALL_STOP);
+	case SCENARIO_DRAIN:
+		return drain_worker(play, w);
+	case SCENARIO_UNREGISTER:
+		return unregister_worker(play, w, f->b);
+	case SCENARIO_OVERLOAD:
+		return overload_node(play, node, f->b);
 	default:
 		return hang_up(play);
 	}
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -36,6 +36,9 @@
 	SCENARIO_DELAY_START, /* the next one to worker a is late by 2 s */
 	SCENARIO_DELAY_HOLD,
 	SCENARIO_DELAY_STOP,
+	SCENARIO_DRAIN, /* worker a, as it registers itself */
+	SCENARIO_UNREGISTER, /* worker a's registration lapses, for b ms */
+	SCENARIO_OVERLOAD, /* instance a's loop is late for b ms */
 	SCENARIO_HANG_UP, /* the caller's connection is lost */
 	SCENARIO_KIND_COUNT,
 };
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -81,6 +81,7 @@
 		add(list, SCENARIO_STOP, a, 0);
 		for (size_t i = 0; i < 4; i++)
 			add(list, SCENARIO_FREEZE, a, freezes_ms[i]);
+		add(list, SCENARIO_OVERLOAD, a, 700);
 		for (uint32_t b = 0; b < a; b++) {
 			add(list, SCENARIO_CUT_LINK, a, b);
 			add(list, SCENARIO_CUT_ONE_WAY, a, b);
@@ -97,6 +98,8 @@
 		add(list, SCENARIO_PARTITION, 0, 1 << w);
 		add(list, SCENARIO_RESTART_WORKER, w, 0);
 		add(list, SCENARIO_RESTART_WORKER, w, 500);
+		add(list, SCENARIO_DRAIN, w, 0);
+		add(list, SCENARIO_UNREGISTER, w, 3000);
 		add(list, SCENARIO_LOSE_ANSWER, w, 0);
 		add(list, SCENARIO_DELAY_START, w, 0);
 		add(list, SCENARIO_DELAY_HOLD, w, 0);
