core: the next leader learns of jobs that ended without their leader's knowledge

Cause: an entry cancels a job whose caller hung up, or which it has answered as given up, at its leader. If that is cut off, the cancel is lost, and the leader keeps the job's runs for as long as it waits for a silent entry. The caller sends the job again 1.3 s later; the next leader takes it for a new one, or forgets that it had itself given the job up while another leader's runs were open. Change: an entry remembers such a job until a beat shows that its leader has received the cancel, and tells each next leader until when the former one's runs may be open. A leader keeps that time with a job that it has given up, and a job that is sent again waits for it, unless all workers are held.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -154,6 +154,7 @@
 	memcpy(f->id, job->id, sizeof(f->id));
 	f->end = end;
 	f->reason = reason;
+	f->earlier_runs_over_ms = job->earlier_runs_over_ms;
 	f->until_ms = job->deadline_ms;
 	if (f->until_ms < now_ms + MIN_FINISHED_KEEP_MS)
 		f->until_ms = now_ms + MIN_FINISHED_KEEP_MS;
@@ -327,6 +328,37 @@
 	}
 }
 
+/*
+ * Forgets that a job has ended: its caller has sent it again. Returns the time
+ * by which the runs of leaders before this one have ended.
+ */
+static uint64_t forget_finished(struct lease_dispatch *dispatch, const char *id)
+{
+	uint64_t over_ms;
+	struct finished *f;
+
+	HASH_FIND_STR(dispatch->finished, id, f);
+	if (!f)
+		return 0;
+	over_ms = f->earlier_runs_over_ms;
+	HASH_DEL(dispatch->finished, f);
+	talloc_free(f);
+	return over_ms;
+}
+
+/* Returns the time by which other leaders' runs of a new job have ended. */
+static uint64_t runs_over_ms(struct lease_dispatch *dispatch,
+			     const struct lease_submission *from,
+			     uint64_t now_ms)
+{
+	uint64_t over_ms = now_ms + from->closed_in_ms;
+	uint64_t before_ms = forget_finished(dispatch, from->id);
+
+	if (before_ms > over_ms)
+		over_ms = before_ms;
+	return over_ms;
+}
+
 static struct lease_job *create_job(struct lease_dispatch *dispatch,
 				    const struct lease_submission *from,
 				    uint64_t now_ms)
@@ -345,7 +377,7 @@
 	job->received_ms = now_ms > from->age_ms ? now_ms - from->age_ms : 0;
 	job->objective_ms = from->objective_ms;
 	job->deadline_ms = now_ms + from->remaining_ms;
-	job->earlier_runs_over_ms = now_ms + from->closed_in_ms;
+	job->earlier_runs_over_ms = runs_over_ms(dispatch, from, now_ms);
 	job->begun = from->handed != 0;
 	copy_steps(job, from);
 	create_tasks(job, 1 + from->handed * RUN_NUMBERS_PER_LEADER);
@@ -417,12 +449,8 @@
 	struct finished *f;
 
 	HASH_FIND_STR(dispatch->finished, from->id, f);
-	if (!f || f->end != LEASE_GIVEN_UP || from->handed)
-		return f;
-	/* The caller has sent the job again: it may run again. */
-	HASH_DEL(dispatch->finished, f);
-	talloc_free(f);
-	return NULL;
+	/* A job that the caller has sent again may run again. */
+	return f && f->end == LEASE_GIVEN_UP && !from->handed ? NULL : f;
 }
 
 /*
@@ -528,7 +556,7 @@
 	job = create_job(dispatch, from, now_ms);
 	if (!from->handed)
 		lease_note_arrival(dispatch, job, now_ms);
-	if (from->closed_in_ms)
+	if (job->earlier_runs_over_ms > now_ms)
 		probe_for(dispatch, job, now_ms);
 	counter_add(COUNTER_JOBS_ADMITTED, 1);
 	log_info(LOG_JOB,
@@ -605,6 +633,35 @@
 			 entry, count, keep_ms);
 }
 
+void lease_note_open_runs(struct lease_dispatch *dispatch, const char *id,
+			  uint64_t over_ms, uint64_t now_ms)
+{
+	struct lease_job *job = find_job(dispatch, id);
+	struct finished *f;
+
+	if (job) {
+		if (over_ms <= job->earlier_runs_over_ms)
+			return;
+		job->earlier_runs_over_ms = over_ms;
+		probe_for(dispatch, job, now_ms);
+		return;
+	}
+	HASH_FIND_STR(dispatch->finished, id, f);
+	if (!f) {
+		f = talloc_zero(dispatch, struct finished);
+		snprintf(f->id, sizeof(f->id), "%s", id);
+		f->end = LEASE_GIVEN_UP;
+		f->until_ms = now_ms + MAX_FINISHED_KEEP_MS;
+		HASH_ADD_STR(dispatch->finished, id, f);
+	}
+	if (over_ms > f->earlier_runs_over_ms)
+		f->earlier_runs_over_ms = over_ms;
+	log_info(LOG_JOB,
+		 "job %s: has ended at its entry; another leader's runs may be "
+		 "open for %" PRIu64 " ms",
+		 id, over_ms - now_ms);
+}
+
 /* Rounds of starts */
 
 static bool is_step_ready(const struct lease_job *job, uint32_t s)
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -152,6 +152,13 @@
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
 			uint64_t lost_ms, uint64_t keep_ms);
 
+/*
+ * Notes that a job which its caller may send again can have open runs of other
+ * leaders until over_ms.
+ */
+void lease_note_open_runs(struct lease_dispatch *dispatch, const char *id,
+			  uint64_t over_ms, uint64_t now_ms);
+
 /* Starts no task before until_ms; called after the process was paused. */
 void lease_defer_starts(struct lease_dispatch *dispatch, uint64_t until_ms);
 
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -81,6 +81,7 @@
 	char id[STEP_JOB_ID_BYTES];
 	enum lease_end end;
 	enum lease_reason reason;
+	uint64_t earlier_runs_over_ms; /* as of the job; may have passed */
 	uint64_t until_ms;
 };
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -463,6 +463,7 @@
 	};
 
 	lease_node->options = *options;
+	TAILQ_INIT(&lease_node->ended);
 	lease_node->ports = options->ports;
 	lease_node->leaderless_ms = options->now_ms;
 	lease_node->members = leader_create(lease_node, &members);
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -21,6 +21,8 @@
  * (LEADER_VALID_MS), and it has waited for this instance to come back.
  */
 #define ABANDONED_MS (LEADER_VALID_MS + LEASE_ABANDON_MS)
+/* A leader from which no beats arrive, and its runs, since its last beat. */
+#define CLOSED_MS (ABANDONED_MS + RUNS_CLOSED_MS)
 /* Past a job's deadline, for the leader's own answer to arrive. */
 #define ANSWER_GRACE_MS 100
 #define RETRY_AFTER_MS 1000 /* another instance leads by then */
@@ -56,7 +58,8 @@
 	if (leader == lease_node->options.incarnation)
 		lease_cancel(lease_node->dispatch, &waiter, job->id, now_ms);
 	else if (leader)
-		lease_node_send_cancel(lease_node, job, leader);
+		lease_node_send_cancel(lease_node, job->request, job->id, 0,
+				       leader);
 }
 
 /* Cancels a job at the leaders that may have it, also this instance. */
@@ -67,6 +70,25 @@
 	cancel_at(lease_node, job, job->former, now_ms);
 }
 
+/* Remembers a job that has ended without its leader's answer. */
+static void add_ended(struct lease_node *lease_node,
+		      const struct lease_node_job *job, uint64_t now_ms)
+{
+	struct lease_node_ended *ended;
+
+	if ((!job->sent_to ||
+	     job->sent_to == lease_node->options.incarnation) &&
+	    job->closed_ms <= now_ms)
+		return;
+	ended = talloc_zero(lease_node, struct lease_node_ended);
+	ended->request = job->request;
+	memcpy(ended->id, job->id, sizeof(ended->id));
+	ended->ended_ms = now_ms;
+	ended->leader = job->sent_to;
+	ended->closed_ms = job->closed_ms;
+	TAILQ_INSERT_TAIL(&lease_node->ended, ended, entry);
+}
+
 /*
  * Answers a job here: refused if it was never sent to a leader, else given up.
  */
@@ -85,6 +107,7 @@
 	/* Cancelling it at the leader must not answer it again. */
 	HASH_REMOVE(lease_node->jobs, job);
 	cancel_at_leaders(lease_node, job, now_ms);
+	add_ended(lease_node, job, now_ms);
 	answer_caller(lease_node, job,
 		      never_sent ? LEASE_REFUSED : LEASE_GIVEN_UP, reason,
 		      RETRY_AFTER_MS);
@@ -173,7 +196,70 @@
 	/* Its beats say that it does not lead. */
 	if (m && m->linked && !m->claim)
 		return now_ms + RUNS_CLOSED_MS;
-	return (m ? m->last_beat_ms : now_ms) + ABANDONED_MS + RUNS_CLOSED_MS;
+	return (m ? m->last_beat_ms : now_ms) + CLOSED_MS;
+}
+
+/*
+ * Returns true if a beat shows that the leader has received what was sent to
+ * it by then.
+ */
+static bool has_received(struct lease_node *lease_node, uint64_t leader,
+			 uint64_t sent_ms)
+{
+	const struct leader_member *m =
+		leader_find(lease_node->members, leader);
+
+	return m && m->linked && m->valid_until_ms > sent_ms + LEADER_VALID_MS;
+}
+
+static void tell_ended(struct lease_node *lease_node,
+		       const struct lease_node_ended *ended, uint64_t now_ms)
+{
+	uint64_t leader = lease_node->leader;
+
+	if (ended->closed_ms <= now_ms)
+		return;
+	if (leader == lease_node->options.incarnation)
+		lease_note_open_runs(lease_node->dispatch, ended->id,
+				     ended->closed_ms, now_ms);
+	else if (leader)
+		lease_node_send_cancel(lease_node, ended->request, ended->id,
+				       ended->closed_ms - now_ms, leader);
+}
+
+/* Tells a new leader which jobs have ended here, but perhaps not elsewhere. */
+static void tell_all_ended(struct lease_node *lease_node, uint64_t now_ms)
+{
+	struct lease_node_ended *ended;
+	uint64_t closed_ms;
+
+	TAILQ_FOREACH(ended, &lease_node->ended, entry) {
+		if (ended->leader && ended->leader != lease_node->leader) {
+			closed_ms = runs_closed_ms(lease_node, ended->leader,
+						   now_ms);
+			if (closed_ms > ended->closed_ms)
+				ended->closed_ms = closed_ms;
+			ended->leader = 0;
+		}
+		if (!ended->leader)
+			tell_ended(lease_node, ended, now_ms);
+	}
+}
+
+static void expire_ended(struct lease_node *lease_node, uint64_t now_ms)
+{
+	struct lease_node_ended *ended = TAILQ_FIRST(&lease_node->ended);
+	struct lease_node_ended *next;
+
+	for (; ended; ended = next) {
+		next = TAILQ_NEXT(ended, entry);
+		if (ended->leader ? !has_received(lease_node, ended->leader,
+						  ended->ended_ms)
+				  : ended->closed_ms > now_ms)
+			continue;
+		TAILQ_REMOVE(&lease_node->ended, ended, entry);
+		talloc_free(ended);
+	}
 }
 
 /*
@@ -207,6 +293,7 @@
 	struct lease_node_job *job, *next;
 	uint32_t count = 0;
 
+	tell_all_ended(lease_node, now_ms);
 	HASH_ITER(hh, lease_node->jobs, job, next) {
 		uint64_t former = job->sent_to;
 
@@ -275,6 +362,7 @@
 		 job->id, now_ms - job->received_ms);
 	HASH_REMOVE(lease_node->jobs, job);
 	cancel_at_leaders(lease_node, job, now_ms);
+	add_ended(lease_node, job, now_ms);
 	talloc_free(job);
 }
 
@@ -291,6 +379,8 @@
 	if (end == LEASE_REFUSED && job->handed)
 		end = LEASE_GIVEN_UP; /* an earlier leader may have run it */
 	HASH_REMOVE(lease_node->jobs, job);
+	if (end == LEASE_GIVEN_UP)
+		add_ended(lease_node, job, lease_node->active_ms);
 	answer_caller(lease_node, job, end, answer->reason,
 		      answer->retry_after_ms);
 }
@@ -314,6 +404,7 @@
 {
 	struct lease_node_job *job, *next;
 
+	expire_ended(lease_node, now_ms);
 	HASH_ITER(hh, lease_node->jobs, job, next) {
 		if (now_ms >= job->deadline_ms + ANSWER_GRACE_MS)
 			end_job(lease_node, job, LEASE_DEADLINE, now_ms);
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -284,14 +284,15 @@
 	talloc_free(mem);
 }
 
-void lease_node_send_cancel(struct lease_node *lease_node,
-			    const struct lease_node_job *job, uint64_t to)
+void lease_node_send_cancel(struct lease_node *lease_node, uint64_t request,
+			    const char *id, uint64_t closed_in_ms, uint64_t to)
 {
 	Bergamot__QueueJobCancel msg = BERGAMOT__QUEUE_JOB_CANCEL__INIT;
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
 
-	msg.request = job->request;
-	msg.id = (char *)job->id;
+	msg.request = request;
+	msg.id = (char *)id;
+	msg.closed_in_ms = (uint32_t)closed_in_ms;
 	peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL;
 	peer.queue_job_cancel = &msg;
 	send_to(lease_node, to, &peer);
@@ -461,8 +462,12 @@
 {
 	struct lease_waiter waiter = { from, msg->request };
 
-	if (lease_node->claim)
-		lease_cancel(lease_node->dispatch, &waiter, msg->id, now_ms);
+	if (!lease_node->claim || !step_job_is_id(msg->id, strlen(msg->id)))
+		return;
+	lease_cancel(lease_node->dispatch, &waiter, msg->id, now_ms);
+	if (msg->closed_in_ms)
+		lease_note_open_runs(lease_node->dispatch, msg->id,
+				     now_ms + msg->closed_in_ms, now_ms);
 }
 
 void lease_node_peer_message(struct lease_node *lease_node, uint64_t from,
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -33,6 +33,19 @@
 	uint64_t closed_ms; /* by when these are certain to have given it up */
 };
 
+/*
+ * A job that has ended here, while its leader may not know it. The caller may
+ * send it again, to any instance.
+ */
+struct lease_node_ended {
+	TAILQ_ENTRY(lease_node_ended) entry; /* by time of the end */
+	uint64_t request;
+	char id[STEP_JOB_ID_BYTES];
+	uint64_t ended_ms;
+	uint64_t leader; /* which was sent the cancel; 0: it was left */
+	uint64_t closed_ms; /* by when former leaders' runs have ended */
+};
+
 struct lease_node_address {
 	UT_hash_handle hh;
 	char *text;
@@ -55,6 +68,9 @@
 	struct lease_dispatch *dispatch;
 	struct lease_relay *relay;
 	struct lease_node_job *jobs;
+	TAILQ_HEAD(, lease_node_ended) ended;
+	uint64_t
+		entry_lost_ms; /* first recent loss of another entry; 0: none */
 	struct lease_node_address *addresses;
 	bool members_read; /* addresses has all registered instances */
 	struct lease_node_backlog *backlogs;
@@ -101,8 +117,8 @@
 void lease_node_send_job(struct lease_node *lease_node,
 			 const struct lease_node_job *job, uint64_t to,
 			 uint64_t now_ms);
-void lease_node_send_cancel(struct lease_node *lease_node,
-			    const struct lease_node_job *job, uint64_t to);
+void lease_node_send_cancel(struct lease_node *lease_node, uint64_t request,
+			    const char *id, uint64_t closed_in_ms, uint64_t to);
 
 /* Passes the dispatcher's answer to the instance that accepted the job. */
 void lease_node_on_answer(void *ctx, const struct lease_answer *answer);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3624,7 +3624,7 @@
   (ProtobufCMessageInit) bergamot__queue_job_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__queue_job_cancel__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bergamot__queue_job_cancel__field_descriptors[3] =
 {
   {
     "request",
@@ -3650,15 +3650,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed_in_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJobCancel, closed_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__queue_job_cancel__field_indices_by_name[] = {
+  2,   /* field[2] = closed_in_ms */
   1,   /* field[1] = id */
   0,   /* field[0] = request */
 };
 static const ProtobufCIntRange bergamot__queue_job_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bergamot__queue_job_cancel__descriptor =
 {
@@ -3668,7 +3681,7 @@
   "Bergamot__QueueJobCancel",
   "bergamot",
   sizeof(Bergamot__QueueJobCancel),
-  2,
+  3,
   bergamot__queue_job_cancel__field_descriptors,
   bergamot__queue_job_cancel__field_indices_by_name,
   1,  bergamot__queue_job_cancel__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -531,10 +531,15 @@
   ProtobufCMessage base;
   uint64_t request;
   char *id;
+  /*
+   * Time for which an earlier leader, which may not have received the cancel,
+   * may have open runs of the job.
+   */
+  uint32_t closed_in_ms;
 };
 #define BERGAMOT__QUEUE_JOB_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__queue_job_cancel__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bergamot__QueueWaiting
