core: a new leader expects the jobs of entries that were lost behind a cut

Cause: a leader that is cut off sees the loss of an entry on the other side as silence, keeps its jobs for up to 1.5 s and the leases of their runs for one more. The caller sends the job again after 1.3 s, to the other side, whose leader does not reach the worker and takes it for a new one. Evidence: test_two_runs_after_the_entry_was_lost_in_a_cut, which test_lease_orders found (a partition, the entry is killed 0.1 s after it). Change: where the link of an entry has broken since a leader fell silent, the next leader lets new jobs wait from 1.2 s after that loss until 2.6 s after the former leader's last beat, unless it holds all workers. Without such a loss, as in a plain cut, nothing waits: all new jobs waiting after each cut would cost 1.1 s of arrivals each time. Before / after: that test fails / passes, so that test_lease_two_runs leaves KNOWN-RED.txt. Left: an entry that is lost behind a second cut, where this leader does not see its link break.

--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -103,6 +103,9 @@
 	uint32_t waiting_tasks;
 	uint32_t running_tasks;
 	uint64_t no_start_until_ms;
+	/* Between these times a new job may have been sent again. */
+	uint64_t resent_from_ms;
+	uint64_t resent_until_ms;
 	struct lease_job **sorted; /* result of lease_sort_jobs */
 	/* A round of starts would find no more room, as far as is known. */
 	bool is_full;
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -103,6 +103,12 @@
 void lease_node_take_back_jobs(struct lease_node *lease_node,
 			       uint64_t incarnation, uint64_t now_ms);
 
+/*
+ * Tells the dispatcher, if this instance leads, which new jobs may have been
+ * sent again and still be served by a leader whose beats are missing.
+ */
+void lease_node_expect_resent(struct lease_node *lease_node, uint64_t now_ms);
+
 /* Ends jobs past their deadline. */
 void lease_node_expire_jobs(struct lease_node *lease_node, uint64_t now_ms);
 
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -1,6 +1,6 @@
 /*
  * No task has two runs at once: orders of faults, found by test_lease_orders,
- * that still start a second run (KNOWN-RED.txt). BERGAMOT_SHOW prints what
+ * that once started a second run. BERGAMOT_SHOW prints what
  * happens in each.
  */
 #include <stdlib.h>
