core/tests: a drained worker that is not listed still runs; fixed orders move

Cause: pool_all_held_since leaves out a worker that has drained and whose registration is gone. The registration also lapses while the worker is silent to the platform and runs on; a former leader behind a cut renews the lease, the next one does not hold that worker and starts the task elsewhere.

--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -326,6 +326,34 @@
 }
 END_TEST
 
+/* One list of a worker shows another leader's run, and ours to have ended. */
+START_TEST(test_two_runs_after_a_run_was_found_in_place_of_ours)
+{
+	check_one_run("1 0 0 0 0 0 300:partition(2,3) 1000:heal(0,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_after_a_run_was_found_by_another_relay)
+{
+	check_one_run("1 0 1 0 0 0 300:partition(2,2) 1000:heal(0,0)");
+}
+END_TEST
+
+/* Ours ends after the stop of the other one, and before its end. */
+START_TEST(test_two_runs_while_a_found_run_is_being_stopped)
+{
+	check_one_run("1 0 1 0 0 0 1300:cut_link(2,0) 2000:freeze(1,700)");
+}
+END_TEST
+
+/* Its stop was acknowledged by the worker's former process. */
+START_TEST(test_two_runs_after_a_late_start_on_a_restarted_worker)
+{
+	check_one_run("1 0 0 0 1 1 0:delay_start(0,0) "
+		      "100:restart_worker(0,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -367,6 +395,13 @@
 {
 	tcase_add_test(tc, test_two_runs_after_the_entry_was_lost_before_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_start_by_a_frozen_relay);
+	tcase_add_test(tc,
+		       test_two_runs_after_a_run_was_found_in_place_of_ours);
+	tcase_add_test(tc,
+		       test_two_runs_after_a_run_was_found_by_another_relay);
+	tcase_add_test(tc, test_two_runs_while_a_found_run_is_being_stopped);
+	tcase_add_test(tc,
+		       test_two_runs_after_a_late_start_on_a_restarted_worker);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 }
 
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -20,26 +20,6 @@
 	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
 }
 
-/* One list of a worker shows another leader's run, and ours to have ended. */
-START_TEST(test_two_runs_after_a_run_was_found_in_place_of_ours)
-{
-	check_one_run("1 0 0 0 0 0 300:partition(2,3) 1000:heal(0,0)");
-}
-END_TEST
-
-START_TEST(test_two_runs_after_a_run_was_found_by_another_relay)
-{
-	check_one_run("1 0 1 0 0 0 300:partition(2,2) 1000:heal(0,0)");
-}
-END_TEST
-
-/* Ours ends after the stop of the other one, and before its end. */
-START_TEST(test_two_runs_while_a_found_run_is_being_stopped)
-{
-	check_one_run("1 0 1 0 0 0 1300:cut_link(2,0) 2000:freeze(1,700)");
-}
-END_TEST
-
 /* Its entry is lost behind a cut, where the former leader goes on. */
 START_TEST(test_two_runs_after_the_entry_was_lost_in_a_cut)
 {
@@ -53,21 +33,18 @@
 }
 END_TEST
 
-/* Its stop was acknowledged by the worker's former process. */
-START_TEST(test_two_runs_after_a_late_start_on_a_restarted_worker)
+/* It has left the list while it drains, and runs on. */
+START_TEST(test_two_runs_after_a_drained_worker_was_not_listed)
 {
-	check_one_run("1 0 0 0 1 1 0:delay_start(0,0) "
-		      "100:restart_worker(0,0)");
+	check_one_run("1 0 0 0 0 0 700:drain(0,0) 2000:unregister(0,3000) "
+		      "2700:partition(1,0)");
 }
 END_TEST
 
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
-			test_two_runs_after_a_run_was_found_in_place_of_ours,
-			test_two_runs_after_a_run_was_found_by_another_relay,
-			test_two_runs_while_a_found_run_is_being_stopped,
 			test_two_runs_after_the_entry_was_lost_in_a_cut,
 			test_two_runs_after_a_cancel_was_lost_in_a_cut,
-			test_two_runs_after_a_late_start_on_a_restarted_worker);
+			test_two_runs_after_a_drained_worker_was_not_listed);
 }
