core/tests: two runs after one stop of the leader beside a new worker

Cause: the next leader starts a job that is handed to it once it holds every worker that it knows. It knows those whose registrations it has read: instances that do not lead read them up to FOLLOWER_WATCH_INTERVAL_MS (1.4 s) late, the leader up to 0.7 s. A run of the former leader on a worker that has joined in between is on none of the lists that release the job. Found by reading; test_lease_orders has the kind list_late now.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -57,6 +57,7 @@
 	[SCENARIO_DELAY_STOP] = "delay_stop",
 	[SCENARIO_DRAIN] = "drain",
 	[SCENARIO_UNREGISTER] = "unregister",
+	[SCENARIO_LIST_LATE] = "list_late",
 	[SCENARIO_OVERLOAD] = "overload",
 	[SCENARIO_HANG_UP] = "hang_up",
 };
@@ -103,6 +104,7 @@
 	uint64_t down_until_ms;
 	bool draining;
 	uint64_t unregistered_until_ms;
+	bool unlisted[SCENARIO_NODES]; /* its registration was not read yet */
 	uint64_t fence;
 	uint64_t lease_ms; /* on its clock */
 	uint32_t refused_number; /* this run and lower ones never start */
@@ -747,6 +749,8 @@
 		.draining = play->workers[i].draining,
 	};
 
+	if (play->workers[i].unlisted[node->index])
+		return;
 	if (play->workers[i].unregistered_until_ms > play->now_ms) {
 		lease_node_worker_removed(node->lease_node, registration.id,
 					  play->now_ms);
@@ -1134,6 +1138,11 @@
 		return drain_worker(play, w);
 	case SCENARIO_UNREGISTER:
 		return unregister_worker(play, w, f->b);
+	case SCENARIO_LIST_LATE:
+		w = &play->workers[f->b];
+		w->unlisted[f->a] = false;
+		schedule_event(play, EV_LISTED, node, 0)->worker = (int)f->b;
+		return true;
 	case SCENARIO_OVERLOAD:
 		return overload_node(play, node, f->b);
 	default:
@@ -1269,6 +1278,12 @@
 		snprintf(w->id, sizeof(w->id), "w%d", i);
 		set_up_worker(play, w, FIRST_CLOCK_MS);
 	}
+	for (size_t i = 0; i < play->scenario->fault_count; i++) {
+		const struct scenario_fault *f = &play->scenario->faults[i];
+
+		if (f->kind == SCENARIO_LIST_LATE)
+			play->workers[f->b].unlisted[f->a] = true;
+	}
 	for (int i = 0; i < SCENARIO_NODES; i++) {
 		struct node *node = &play->nodes[i];
 
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -38,6 +38,8 @@
 	SCENARIO_DELAY_STOP,
 	SCENARIO_DRAIN, /* worker a, as it registers itself */
 	SCENARIO_UNREGISTER, /* worker a's registration lapses, for b ms */
+	/* Worker b is new; instance a reads its registration only now. */
+	SCENARIO_LIST_LATE,
 	SCENARIO_OVERLOAD, /* instance a's loop is late for b ms */
 	SCENARIO_HANG_UP, /* the caller's connection is lost */
 	SCENARIO_KIND_COUNT,
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -82,6 +82,8 @@
 		for (size_t i = 0; i < 4; i++)
 			add(list, SCENARIO_FREEZE, a, freezes_ms[i]);
 		add(list, SCENARIO_OVERLOAD, a, 700);
+		for (uint32_t w = 0; a && w < SCENARIO_WORKERS; w++)
+			add(list, SCENARIO_LIST_LATE, a, w);
 		for (uint32_t b = 0; b < a; b++) {
 			add(list, SCENARIO_CUT_LINK, a, b);
 			add(list, SCENARIO_CUT_ONE_WAY, a, b);
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -41,10 +41,25 @@
 }
 END_TEST
 
+/* The next leader has not read the registration of a worker that is new. */
+START_TEST(test_two_runs_after_a_stop_beside_a_new_worker)
+{
+	check_one_run("1 0 0 0 0 0 300:stop(0,0) 1400:list_late(1,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_after_a_kill_beside_a_new_worker)
+{
+	check_one_run("1 0 0 0 0 0 300:kill(0,0) 1400:list_late(1,0)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
 			test_two_runs_after_the_entry_was_lost_in_a_cut,
 			test_two_runs_after_a_cancel_was_lost_in_a_cut,
-			test_two_runs_after_a_drained_worker_was_not_listed);
+			test_two_runs_after_a_drained_worker_was_not_listed,
+			test_two_runs_after_a_stop_beside_a_new_worker,
+			test_two_runs_after_a_kill_beside_a_new_worker);
 }
