core, platform: a job is released only by a list of workers read after it arrived

Cause: a job that another leader may have is started again once all workers of the list have been looked at. Instances that do not lead read the changes of the list up to 1.4 s late. A worker that joined in between, and on which the former leader has started a task, is on no list that releases the job: it starts twice. Planned stops of the leader suffice; empty workers need only be added before. Change: a job that is handed over asks for the changes of the list; only a list that was read after that, and a look at all workers after that, release the job. Where the store does not answer, the job waits for the former leader's leases. Why it works: the former leader read that registration from the same store, whose reads are linearizable, before it started anything there.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -484,6 +484,8 @@
 	job->probe_after_ms = 0;
 #endif
 	pool_probe_all(dispatch->pool, now_ms);
+	if (dispatch->options.refresh_workers)
+		dispatch->options.refresh_workers(dispatch->options.ctx);
 }
 
 /* Tasks that wait do not start while another leader's runs may be open. */
@@ -1151,6 +1153,7 @@
 		.ports = &dispatch->options.ports,
 		.lease_ms = options->lease_ms,
 		.stop_ms = options->stop_ms,
+		.list_lags = options->refresh_workers != NULL,
 		.closed = on_run_closed,
 		.found_run = adopt_run,
 		.found_done = adopt_done,
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -95,6 +95,11 @@
 	bool admission; /* refuse jobs that would end too late */
 	uint64_t seed; /* of the random part of retry_after_ms */
 	void (*answer)(void *ctx, const struct lease_answer *answer);
+	/*
+	 * Reads what has changed in the list of workers; then
+	 * pool_note_list_current is called. NULL: the list is always current.
+	 */
+	void (*refresh_workers)(void *ctx);
 	void *ctx;
 };
 
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -241,6 +241,12 @@
 	pool_unregister_worker(lease_pool(lease_node->dispatch), id, now_ms);
 }
 
+void lease_node_worker_list_current(struct lease_node *lease_node,
+				    uint64_t as_of_ms)
+{
+	pool_note_list_current(lease_pool(lease_node->dispatch), as_of_ms);
+}
+
 /*
  * Returns true at the first start of the whole system, when no instance has led
  * before and no registration that another instance may have read has expired.
@@ -437,6 +443,17 @@
 	lease_node->ports->send(lease_node->ports->ctx, incarnation, msg);
 }
 
+static void refresh_workers(void *ctx)
+{
+	struct lease_node *lease_node = ctx;
+
+	if (lease_node->ports->refresh_workers)
+		lease_node->ports->refresh_workers(lease_node->ports->ctx);
+	else
+		lease_node_worker_list_current(lease_node,
+					       lease_node->active_ms);
+}
+
 static void wake_for_relay(void *ctx)
 {
 	struct lease_node *lease_node = ctx;
@@ -479,6 +496,7 @@
 		.admission = options->admission,
 		.seed = options->seed,
 		.answer = lease_node_on_answer,
+		.refresh_workers = refresh_workers,
 		.ctx = lease_node,
 	};
 
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -41,6 +41,11 @@
 	uint64_t (*wall_ms)(void *ctx);
 	/* Schedules one lease_node_flush within a few ms, for many calls. */
 	void (*wake)(void *ctx);
+	/*
+	 * Reads what has changed in the list of workers, soon; reports it and
+	 * lease_node_worker_list_current. NULL: the list is always current.
+	 */
+	void (*refresh_workers)(void *ctx);
 };
 
 struct lease_node_options {
@@ -124,6 +129,10 @@
 void lease_node_worker_removed(struct lease_node *lease_node, const char *id,
 			       uint64_t now_ms);
 
+/* All changes up to as_of_ms were reported. */
+void lease_node_worker_list_current(struct lease_node *lease_node,
+				    uint64_t as_of_ms);
+
 /* The whole list of workers was read. */
 void lease_node_worker_list_complete(struct lease_node *lease_node,
 				     uint64_t now_ms);
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -276,6 +276,12 @@
 		 registered, draining);
 }
 
+void pool_note_list_current(struct lease_pool *pool, uint64_t as_of_ms)
+{
+	if (as_of_ms > pool->list_current_ms)
+		pool->list_current_ms = as_of_ms;
+}
+
 void pool_note_list_dropped(struct lease_pool *pool)
 {
 	pool->list_read_ms = 0;
@@ -289,6 +295,10 @@
 	if (!pool->list_read_ms ||
 	    now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
 		return 0;
+#ifndef BREAK_LIST_AGE
+	if (pool->options.list_lags && pool->list_current_ms < since_ms)
+		since_ms = pool->list_current_ms;
+#endif
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		if (!worker->registered && worker->draining)
 			continue;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -237,6 +237,7 @@
 	const struct pool_ports *ports;
 	uint32_t lease_ms; /* longest lease of a worker */
 	uint32_t stop_ms; /* longest time a worker takes to stop a run */
+	bool list_lags; /* pool_note_list_current tells how current it is */
 	/*
 	 * Called when a run with a task has ended; the task may start again.
 	 * Must not free runs, but may stop other runs.
@@ -267,9 +268,21 @@
  */
 #define POOL_LONGEST_PARTITION_MS 30000
 
+/*
+ * A worker that drains may be missing from the list, because it is silent to
+ * the platform, while it ends its last tasks under another leader.
+ */
+#define POOL_DRAINED_MS 3000
+
 /* Notes that the whole list of registrations has been read. */
 void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms);
 
+/*
+ * Notes that all changes of registrations up to as_of_ms were applied. Another
+ * leader may have used a worker that has been registered since.
+ */
+void pool_note_list_current(struct lease_pool *pool, uint64_t as_of_ms);
+
 /* Notes that the list is no longer read, until the next pool_note_list_read. */
 void pool_note_list_dropped(struct lease_pool *pool);
 
@@ -300,11 +313,12 @@
 bool pool_leads(const struct lease_pool *pool);
 
 /*
- * Returns a time such that every worker has answered a probe under our fencing
- * token that was sent then or later; 0 if there is none. A worker that does not
- * answer, or whose registration has lapsed, may have been taken over by another
- * instance; one that was drained before it left is not counted. Walks through
- * all workers.
+ * Returns a time such that every worker that was registered by then has
+ * answered a probe under our fencing token that was sent then or later; 0 if
+ * there is none. A worker that does not answer, or whose registration has
+ * lapsed, may have been taken over by another instance; one that was drained
+ * before it left is not counted after POOL_DRAINED_MS. Walks through all
+ * workers.
  */
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms);
 
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -54,6 +54,7 @@
 	double answer_deviation_ms; /* mean absolute deviation */
 	double unanswered_share;
 	uint64_t list_read_ms; /* registrations known since; 0: not read */
+	uint64_t list_current_ms; /* all changes up to then were applied */
 };
 
 /* lease_pool.c */
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -27,6 +27,7 @@
 #define REGISTRATION_MS 700 /* until instances read it */
 #define OVERLOAD_LAG_MS 200
 #define RESEND_MS 1300
+#define STORE_MS 8 /* a call to the store and its answer */
 #define CALLER_DEADLINE_MS 20000
 #define DIAL_PERIOD_MS 500
 #define EVENT_SLOTS 4096 /* above the longest delay in ms */
@@ -147,6 +148,7 @@
 	EV_SUBMIT,
 	EV_DISCONNECT,
 	EV_LISTED,
+	EV_REFRESHED,
 	EV_RESEND,
 };
 
@@ -163,6 +165,7 @@
 	struct pool_lists lists; /* of a hold */
 	uint64_t request;
 	int worker;
+	uint64_t sent_ms; /* of the call that is answered */
 };
 
 STAILQ_HEAD(event_list, event);
@@ -370,6 +373,15 @@
 	node->flush_due = true;
 }
 
+/* The platform's store answers with what it has when it is asked. */
+static void port_refresh_workers(void *ctx)
+{
+	struct node *node = ctx;
+
+	schedule_event(node->play, EV_REFRESHED, node, STORE_MS)->sent_ms =
+		node->play->now_ms;
+}
+
 static void resend_later(struct play *play)
 {
 	play->is_open = false;
@@ -760,6 +772,16 @@
 	lease_node_worker_listed(node->lease_node, &registration, play->now_ms);
 }
 
+static void refresh_workers(struct play *play, struct node *node,
+			    uint64_t as_of_ms)
+{
+	for (int i = 0; i < SCENARIO_WORKERS; i++) {
+		play->workers[i].unlisted[node->index] = false;
+		list_worker(play, node, i);
+	}
+	lease_node_worker_list_current(node->lease_node, as_of_ms);
+}
+
 static void start_node(struct play *play, struct node *node)
 {
 	struct lease_node_options options = {
@@ -795,12 +817,14 @@
 		.parse_config = port_parse,
 		.wall_ms = port_wall_ms,
 		.wake = port_wake,
+		.refresh_workers = port_refresh_workers,
 	};
 	node->lease_node = lease_node_create(NULL, &options);
 	lease_node_config_read(node->lease_node, "1", 1, play->now_ms);
 	for (int i = 0; i < SCENARIO_WORKERS; i++)
 		list_worker(play, node, i);
 	lease_node_worker_list_complete(node->lease_node, play->now_ms);
+	lease_node_worker_list_current(node->lease_node, play->now_ms);
 	for (int i = 0; i < SCENARIO_NODES; i++)
 		link_nodes(play, node, &play->nodes[i]);
 }
@@ -1190,6 +1214,9 @@
 	case EV_ANSWER:
 		deliver_answer(play, node, e);
 		break;
+	case EV_REFRESHED:
+		refresh_workers(play, node, e->sent_ms);
+		break;
 	case EV_TIMEOUT:
 		e->reply.answer = POOL_NO_ANSWER;
 		deliver_answer(play, node, e);
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -131,6 +131,14 @@
 			control);
 }
 
+static void port_refresh_workers(void *ctx)
+{
+	struct lease_control *control = ctx;
+
+	if (control->store)
+		store_sync_refresh_workers(control->store);
+}
+
 static void set_ports(struct lease_control *control)
 {
 	control->ports = (struct lease_node_ports){
@@ -142,6 +150,7 @@
 		.parse_config = port_parse_config,
 		.wall_ms = port_wall_ms,
 		.wake = port_wake,
+		.refresh_workers = port_refresh_workers,
 	};
 }
 
