core: a drained worker that is not listed may still run tasks

Cause: a worker that drains counted as gone once its registration was removed. It also lapses while the worker is silent to the platform, but works on its last tasks, whose lease a former leader behind a cut renews. Evidence: test_lease_orders at depth 3 (a worker drains, is not listed 1.3 s later, and the entry's instance is cut off 0.7 s after that). Change: it counts as gone 3 s after its registration was removed, by when the tasks that ran as it began to drain are over, or their jobs are.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -287,6 +287,12 @@
 	pool->list_read_ms = 0;
 }
 
+static bool is_drained(const struct pool_worker *worker, uint64_t now_ms)
+{
+	return !worker->registered && worker->draining &&
+	       now_ms - worker->unregistered_ms >= POOL_DRAINED_MS;
+}
+
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
@@ -300,7 +306,7 @@
 		since_ms = pool->list_current_ms;
 #endif
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
-		if (!worker->registered && worker->draining)
+		if (is_drained(worker, now_ms))
 			continue;
 		if (!worker->registered || worker->state != POOL_HELD ||
 		    worker->failures)
@@ -455,7 +461,7 @@
 {
 	return !worker->registered && !worker->run_count &&
 	       !worker->hold_pending &&
-	       (worker->draining ||
+	       (is_drained(worker, now_ms) ||
 		now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS);
 }
 
