--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -154,6 +154,7 @@
 	memcpy(f->id, job->id, sizeof(f->id));
 	f->end = end;
 	f->reason = reason;
+	f->earlier_runs_over_ms = job->earlier_runs_over_ms;
 	f->until_ms = job->deadline_ms;
 	if (f->until_ms < now_ms + MIN_FINISHED_KEEP_MS)
 		f->until_ms = now_ms + MIN_FINISHED_KEEP_MS;
@@ -327,6 +328,40 @@
 	}
 }
 
+/*
+ * Forgets that a job has ended: its caller has sent it again. Returns the time
+ * by which the runs of leaders before this one have ended.
+ */
+static uint64_t forget_finished(struct lease_dispatch *dispatch, const char *id)
+{
+	uint64_t over_ms;
+	struct finished *f;
+
+	HASH_FIND_STR(dispatch->finished, id, f);
+	if (!f)
+		return 0;
+	over_ms = f->earlier_runs_over_ms;
+	HASH_DEL(dispatch->finished, f);
+	talloc_free(f);
+	return over_ms;
+}
+
+/* Returns the time by which other leaders' runs of a new job have ended. */
+static uint64_t runs_over_ms(struct lease_dispatch *dispatch,
+			     const struct lease_submission *from,
+			     uint64_t now_ms)
+{
+	uint64_t over_ms = now_ms + from->closed_in_ms;
+	uint64_t before_ms = forget_finished(dispatch, from->id);
+
+	if (before_ms > over_ms)
+		over_ms = before_ms;
+	if (!from->handed && now_ms >= dispatch->resent_from_ms &&
+	    dispatch->resent_until_ms > over_ms)
+		over_ms = dispatch->resent_until_ms;
+	return over_ms;
+}
+
 static struct lease_job *create_job(struct lease_dispatch *dispatch,
 				    const struct lease_submission *from,
 				    uint64_t now_ms)
@@ -345,7 +380,7 @@
 	job->received_ms = now_ms > from->age_ms ? now_ms - from->age_ms : 0;
 	job->objective_ms = from->objective_ms;
 	job->deadline_ms = now_ms + from->remaining_ms;
-	job->earlier_runs_over_ms = now_ms + from->closed_in_ms;
+	job->earlier_runs_over_ms = runs_over_ms(dispatch, from, now_ms);
 	job->begun = from->handed != 0;
 	copy_steps(job, from);
 	create_tasks(job, 1 + from->handed * RUN_NUMBERS_PER_LEADER);
@@ -417,12 +452,8 @@
 	struct finished *f;
 
 	HASH_FIND_STR(dispatch->finished, from->id, f);
-	if (!f || f->end != LEASE_GIVEN_UP || from->handed)
-		return f;
-	/* The caller has sent the job again: it may run again. */
-	HASH_DEL(dispatch->finished, f);
-	talloc_free(f);
-	return NULL;
+	/* A job that the caller has sent again may run again. */
+	return f && f->end == LEASE_GIVEN_UP && !from->handed ? NULL : f;
 }
 
 /*
@@ -453,6 +484,8 @@
 	job->probe_after_ms = 0;
 #endif
 	pool_probe_all(dispatch->pool, now_ms);
+	if (dispatch->options.refresh_workers)
+		dispatch->options.refresh_workers(dispatch->options.ctx);
 }
 
 /* Tasks that wait do not start while another leader's runs may be open. */
@@ -528,7 +561,7 @@
 	job = create_job(dispatch, from, now_ms);
 	if (!from->handed)
 		lease_note_arrival(dispatch, job, now_ms);
-	if (from->closed_in_ms)
+	if (job->earlier_runs_over_ms > now_ms)
 		probe_for(dispatch, job, now_ms);
 	counter_add(COUNTER_JOBS_ADMITTED, 1);
 	log_info(LOG_JOB,
@@ -605,6 +638,45 @@
 			 entry, count, keep_ms);
 }
 
+void lease_note_open_runs(struct lease_dispatch *dispatch, const char *id,
+			  uint64_t over_ms, uint64_t now_ms)
+{
+	struct lease_job *job = find_job(dispatch, id);
+	struct finished *f;
+
+	if (job) {
+		if (over_ms <= job->earlier_runs_over_ms)
+			return;
+		job->earlier_runs_over_ms = over_ms;
+		probe_for(dispatch, job, now_ms);
+		return;
+	}
+	HASH_FIND_STR(dispatch->finished, id, f);
+	if (!f) {
+		f = talloc_zero(dispatch, struct finished);
+		snprintf(f->id, sizeof(f->id), "%s", id);
+		f->end = LEASE_GIVEN_UP;
+		f->until_ms = now_ms + MAX_FINISHED_KEEP_MS;
+		HASH_ADD_STR(dispatch->finished, id, f);
+	}
+	if (over_ms > f->earlier_runs_over_ms)
+		f->earlier_runs_over_ms = over_ms;
+	log_info(LOG_JOB,
+		 "job %s: has ended at its entry; another leader's runs may be "
+		 "open for %" PRIu64 " ms",
+		 id, over_ms - now_ms);
+}
+
+void lease_expect_resent(struct lease_dispatch *dispatch, uint64_t from_ms,
+			 uint64_t until_ms)
+{
+#ifdef BREAK_EXPECT_RESENT
+	return;
+#endif
+	dispatch->resent_from_ms = from_ms;
+	dispatch->resent_until_ms = until_ms;
+}
+
 /* Rounds of starts */
 
 static bool is_step_ready(const struct lease_job *job, uint32_t s)
@@ -745,6 +817,23 @@
 	return count;
 }
 
+static void name_task(const struct task *task, char name[STEP_JOB_TASK_BYTES])
+{
+	snprintf(name, STEP_JOB_TASK_BYTES, "%s.0.%u.%u", task->job->id,
+		 task->step, task->index);
+}
+
+static bool may_start_task(const struct lease_dispatch *dispatch,
+			   const struct task *task)
+{
+	char name[STEP_JOB_TASK_BYTES];
+
+	if (task->state != TASK_WAITING)
+		return false;
+	name_task(task, name);
+	return !pool_has_unneeded_run(dispatch->pool, name);
+}
+
 static void start_task(struct lease_dispatch *dispatch, struct task *task,
 		       struct pool_worker *worker, uint64_t now_ms)
 {
@@ -756,8 +845,7 @@
 		.estimate_ms = job->steps[task->step].estimate_ms,
 	};
 
-	snprintf(run.name, sizeof(run.name), "%s.0.%u.%u", job->id, task->step,
-		 task->index);
+	name_task(task, run.name);
 	if (!job->begun)
 		histogram_observe_ms(HISTOGRAM_JOB_WAIT,
 				     now_ms - job->received_ms);
@@ -829,7 +917,7 @@
 		struct task *task = &state->tasks[i];
 		struct pool_worker *worker;
 
-		if (task->state != TASK_WAITING)
+		if (!may_start_task(dispatch, task))
 			continue;
 		request.avoid = task->avoid;
 		worker = place_pick(dispatch->options.place, dispatch->pool,
@@ -1065,6 +1153,7 @@
 		.ports = &dispatch->options.ports,
 		.lease_ms = options->lease_ms,
 		.stop_ms = options->stop_ms,
+		.list_lags = options->refresh_workers != NULL,
 		.closed = on_run_closed,
 		.found_run = adopt_run,
 		.found_done = adopt_done,
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -95,6 +95,11 @@
 	bool admission; /* refuse jobs that would end too late */
 	uint64_t seed; /* of the random part of retry_after_ms */
 	void (*answer)(void *ctx, const struct lease_answer *answer);
+	/*
+	 * Reads what has changed in the list of workers; then
+	 * pool_note_list_current is called. NULL: the list is always current.
+	 */
+	void (*refresh_workers)(void *ctx);
 	void *ctx;
 };
 
@@ -152,6 +157,21 @@
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
 			uint64_t lost_ms, uint64_t keep_ms);
 
+/*
+ * Notes that a job which its caller may send again can have open runs of other
+ * leaders until over_ms.
+ */
+void lease_note_open_runs(struct lease_dispatch *dispatch, const char *id,
+			  uint64_t over_ms, uint64_t now_ms);
+
+/*
+ * From from_ms on a new job may be one that its caller has sent again because
+ * an entry instance was lost, and that another leader, from which no beats
+ * arrive, serves until until_ms.
+ */
+void lease_expect_resent(struct lease_dispatch *dispatch, uint64_t from_ms,
+			 uint64_t until_ms);
+
 /* Starts no task before until_ms; called after the process was paused. */
 void lease_defer_starts(struct lease_dispatch *dispatch, uint64_t until_ms);
 
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -54,11 +54,21 @@
 	return worker;
 }
 
+uint64_t pool_fence_of(const struct lease_pool *pool,
+		       const struct pool_worker *worker)
+{
+	return pool->fence + worker->fence_step;
+}
+
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
 	pool_close_previous_runs(pool, worker, now_ms);
 	worker->state = POOL_UNHELD;
+#ifndef BREAK_FENCE_STEP
+	if (worker->fence_step < POOL_FENCE_STEPS - 1)
+		worker->fence_step++;
+#endif
 	worker->hold_serial = 0; /* ignores an answer of the old process */
 	worker->hold_pending = false;
 	worker->ends_read = worker->ends_acked = 0;
@@ -266,11 +276,23 @@
 		 registered, draining);
 }
 
+void pool_note_list_current(struct lease_pool *pool, uint64_t as_of_ms)
+{
+	if (as_of_ms > pool->list_current_ms)
+		pool->list_current_ms = as_of_ms;
+}
+
 void pool_note_list_dropped(struct lease_pool *pool)
 {
 	pool->list_read_ms = 0;
 }
 
+static bool is_drained(const struct pool_worker *worker, uint64_t now_ms)
+{
+	return !worker->registered && worker->draining &&
+	       now_ms - worker->unregistered_ms >= POOL_DRAINED_MS;
+}
+
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
@@ -279,8 +301,12 @@
 	if (!pool->list_read_ms ||
 	    now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
 		return 0;
+#ifndef BREAK_LIST_AGE
+	if (pool->options.list_lags && pool->list_current_ms < since_ms)
+		since_ms = pool->list_current_ms;
+#endif
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
-		if (!worker->registered && worker->draining)
+		if (is_drained(worker, now_ms))
 			continue;
 		if (!worker->registered || worker->state != POOL_HELD ||
 		    worker->failures)
@@ -365,7 +391,8 @@
 		log_warning(LOG_TARGET,
 			    "worker %s: refused our fencing token %" PRIu64
 			    ", obeys another instance; %u open runs",
-			    worker->id, pool->fence, worker->run_count);
+			    worker->id, pool_fence_of(pool, worker),
+			    worker->run_count);
 		worker->foreign_ms = now_ms;
 	}
 	worker->state = POOL_FOREIGN;
@@ -434,7 +461,7 @@
 {
 	return !worker->registered && !worker->run_count &&
 	       !worker->hold_pending &&
-	       (worker->draining ||
+	       (is_drained(worker, now_ms) ||
 		now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS);
 }
 
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -106,6 +106,7 @@
 	uint32_t run_count;
 	uint32_t unwanted_count; /* of open runs; see is_unwanted */
 	bool hold_renews; /* the last hold renews the lease */
+	uint32_t fence_step; /* see POOL_FENCE_STEPS */
 	size_t slot; /* index in the pool's slots */
 };
 
@@ -132,6 +133,7 @@
 	enum pool_run_state state;
 	struct step_job_demand demand;
 	uint32_t estimate_ms;
+	uint64_t fence; /* of the last start or stop that was sent */
 	uint64_t sent_ms;
 	uint64_t answered_ms; /* when the start was acknowledged */
 	uint64_t close_at_ms; /* it has ended by then; 0: unknown */
@@ -235,6 +237,7 @@
 	const struct pool_ports *ports;
 	uint32_t lease_ms; /* longest lease of a worker */
 	uint32_t stop_ms; /* longest time a worker takes to stop a run */
+	bool list_lags; /* pool_note_list_current tells how current it is */
 	/*
 	 * Called when a run with a task has ended; the task may start again.
 	 * Must not free runs, but may stop other runs.
@@ -265,9 +268,21 @@
  */
 #define POOL_LONGEST_PARTITION_MS 30000
 
+/*
+ * A worker that drains may be missing from the list, because it is silent to
+ * the platform, while it ends its last tasks under another leader.
+ */
+#define POOL_DRAINED_MS 3000
+
 /* Notes that the whole list of registrations has been read. */
 void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms);
 
+/*
+ * Notes that all changes of registrations up to as_of_ms were applied. Another
+ * leader may have used a worker that has been registered since.
+ */
+void pool_note_list_current(struct lease_pool *pool, uint64_t as_of_ms);
+
 /* Notes that the list is no longer read, until the next pool_note_list_read. */
 void pool_note_list_dropped(struct lease_pool *pool);
 
@@ -278,9 +293,17 @@
 void pool_unregister_worker(struct lease_pool *pool, const char *id,
 			    uint64_t now_ms);
 
+/*
+ * A worker that restarts forgets the fencing token, the stops and its clock, so
+ * that it would carry out an order that was sent to its earlier process and has
+ * been delayed. So the token of later orders to it is one higher, up to this
+ * number of tokens for one leader.
+ */
+#define POOL_FENCE_STEPS 4
+
 /*
  * Makes this instance the leader, which sends holds to all workers. fence is
- * a fencing token higher than any before.
+ * a fencing token at least POOL_FENCE_STEPS higher than any before.
  */
 void pool_lead(struct lease_pool *pool, uint64_t fence, uint64_t now_ms);
 
@@ -290,11 +313,12 @@
 bool pool_leads(const struct lease_pool *pool);
 
 /*
- * Returns a time such that every worker has answered a probe under our fencing
- * token that was sent then or later; 0 if there is none. A worker that does not
- * answer, or whose registration has lapsed, may have been taken over by another
- * instance; one that was drained before it left is not counted. Walks through
- * all workers.
+ * Returns a time such that every worker that was registered by then has
+ * answered a probe under our fencing token that was sent then or later; 0 if
+ * there is none. A worker that does not answer, or whose registration has
+ * lapsed, may have been taken over by another instance; one that was drained
+ * before it left is not counted after POOL_DRAINED_MS. Walks through all
+ * workers.
  */
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms);
 
@@ -341,6 +365,12 @@
 /* Counts a hung run as a failure of its worker. */
 void pool_note_hung(struct pool_run *run, uint64_t now_ms);
 
+/*
+ * Returns true if a run of the task is open that no task needs, such as another
+ * leader's that is being stopped.
+ */
+bool pool_has_unneeded_run(const struct lease_pool *pool, const char *task);
+
 /* Calls found_run and found_done for what was found of a job, now known. */
 void pool_offer_found(struct lease_pool *pool, const char *job,
 		      uint64_t now_ms);
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -54,12 +54,17 @@
 	double answer_deviation_ms; /* mean absolute deviation */
 	double unanswered_share;
 	uint64_t list_read_ms; /* registrations known since; 0: not read */
+	uint64_t list_current_ms; /* all changes up to then were applied */
 };
 
 /* lease_pool.c */
 
 struct pool_worker *pool_find_worker(struct lease_pool *pool, const char *id);
 
+/* Returns the fencing token of orders to a worker. */
+uint64_t pool_fence_of(const struct lease_pool *pool,
+		       const struct pool_worker *worker);
+
 /* To be called when the worker's speed, capacity or reservations change. */
 void pool_update_slot(struct lease_pool *pool, struct pool_worker *worker);
 
--- /dev/null
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -0,0 +1,65 @@
+/*
+ * No task has two runs at once: orders of faults, found by test_lease_orders,
+ * that once started a second run. BERGAMOT_SHOW prints what
+ * happens in each.
+ */
+#include <stdlib.h>
+
+#include "base/tests/run_suite.h"
+#include "fake_scenario.h"
+
+static void check_one_run(const char *text)
+{
+	struct scenario scenario;
+	struct scenario_result result;
+
+	ck_assert(scenario_read(&scenario, text));
+	scenario.trace = getenv("BERGAMOT_SHOW") != NULL;
+	scenario_play(&scenario, &result);
+	ck_assert(!result.without_effect);
+	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
+}
+
+/* Its entry is lost behind a cut, where the former leader goes on. */
+START_TEST(test_two_runs_after_the_entry_was_lost_in_a_cut)
+{
+	check_one_run("1 2 0 0 0 1 1300:partition(1,1) 1400:kill(1,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_after_a_cancel_was_lost_in_a_cut)
+{
+	check_one_run("1 1 0 1 0 1 1300:partition(1,1) 1400:hang_up(0,0)");
+}
+END_TEST
+
+/* It has left the list while it drains, and runs on. */
+START_TEST(test_two_runs_after_a_drained_worker_was_not_listed)
+{
+	check_one_run("1 0 0 0 0 0 700:drain(0,0) 2000:unregister(0,3000) "
+		      "2700:partition(1,0)");
+}
+END_TEST
+
+/* The next leader has not read the registration of a worker that is new. */
+START_TEST(test_two_runs_after_a_stop_beside_a_new_worker)
+{
+	check_one_run("1 0 0 0 0 0 300:stop(0,0) 1400:list_late(1,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_after_a_kill_beside_a_new_worker)
+{
+	check_one_run("1 0 0 0 0 0 300:kill(0,0) 1400:list_late(1,0)");
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("lease_two_runs", NULL, NULL,
+			test_two_runs_after_the_entry_was_lost_in_a_cut,
+			test_two_runs_after_a_cancel_was_lost_in_a_cut,
+			test_two_runs_after_a_drained_worker_was_not_listed,
+			test_two_runs_after_a_stop_beside_a_new_worker,
+			test_two_runs_after_a_kill_beside_a_new_worker);
+}
