core: no start beside a found run whose demand is not known

Callers and operators would see: a worker that starts whatever it is told to runs more than its capacity after a change of the leader. Cause: a run that a new leader finds counts as nothing in `used` until its job is known. Up to the acknowledgement of its stop the worker got no task, as its lease may not be renewed; from then until its end the leader filled the whole worker beside it. The same for a second run of a task of a known job. Change: a found run is unsized until a task adopts it; a worker with an open unsized run is not usable. Why it works: a run leaves the count by its listed end, its lease's lapse or the end of stop_ms, so that room is counted only once all runs in it have a demand. Tests: test_start_beyond_capacity_beside_a_found_run_being_stopped and ..._beside_a_second_run_being_stopped fail before ('fake->start_count == 0' failed: 1 == 0; 'fake->start_count == 1' failed: 2 == 1) and pass; BREAK_FOUND_ROOM is caught. test_two_runs_after_lease_of_unknown_run_was_renewed demanded a start 20 ms after the acknowledgement, on the worker that still ran the unknown run: it now demands none there, and one as soon as the end is listed.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -211,10 +211,20 @@
 	       worker->blocked_until_ms <= now_ms;
 }
 
+/* Not while a run may use any part of the capacity, also one being stopped. */
+static bool is_room_known(const struct pool_worker *worker)
+{
+#ifdef BREAK_FOUND_ROOM
+	return true;
+#endif
+	return !worker->unsized_count;
+}
+
 bool pool_is_usable(const struct pool_worker *worker, uint64_t now_ms)
 {
 	/* A start renews the lease of all runs on the worker. */
-	return is_in_service(worker, now_ms) && pool_may_renew(worker);
+	return is_in_service(worker, now_ms) && pool_may_renew(worker) &&
+	       is_room_known(worker);
 }
 
 /* Returns true if the first hold of this leader has no result yet. */
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -105,6 +105,7 @@
 	LIST_HEAD(, pool_run) runs;
 	uint32_t run_count;
 	uint32_t unwanted_count; /* of open runs; see is_unwanted */
+	uint32_t unsized_count; /* of open runs; see is_unsized */
 	bool hold_renews; /* the last hold renews the lease */
 	size_t slot; /* index in the pool's slots */
 };
@@ -143,6 +144,7 @@
 	bool started_here; /* started by this leader; its run time counts */
 	bool is_taskless; /* in the pool's list of runs that no task needs */
 	bool is_unwanted; /* taskless, and no stop of it was acknowledged */
+	bool is_unsized; /* found on its worker; its demand is not known */
 };
 
 TAILQ_HEAD(pool_worker_list, pool_worker);
@@ -243,8 +245,9 @@
 		       uint64_t now_ms);
 	/*
 	 * Called for a run of an earlier leader that was found on a worker.
-	 * Sets run->task, or returns false if the run's job is not known. A
-	 * run whose job is known but which gets no task is stopped.
+	 * Sets run->task and its demand, or returns false if the run's job is
+	 * not known. A run whose job is known but which gets no task is
+	 * stopped.
 	 */
 	bool (*found_run)(void *ctx, struct pool_run *run);
 	/* The same for a run that was found to have ended as POOL_DONE. */
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -251,6 +251,7 @@
 		.answered_ms = now_ms,
 		.stop_at_ms = now_ms + ORPHAN_KEEP_MS,
 		.listed_serial = worker->hold_serial,
+		.is_unsized = true,
 	};
 
 	/* An earlier leader may have renewed its lease up to now. */
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -94,12 +94,14 @@
 	LIST_INSERT_HEAD(&worker->runs, run, in_worker);
 	HASH_ADD(hh, pool->by_token, token, sizeof(run->token), run);
 	worker->run_count++;
+	worker->unsized_count += run->is_unsized;
 	reserve_demand(pool, worker, &run->demand);
 	return run;
 }
 
 void pool_free_run(struct lease_pool *pool, struct pool_run *run)
 {
+	run->worker->unsized_count -= run->is_unsized;
 	release_demand(pool, run->worker, &run->demand);
 	set_taskless(pool, run, false);
 	run->worker->run_count--;
@@ -223,6 +225,10 @@
 
 	release_demand(pool, worker, &run->demand);
 	job_found = pool->options.found_run(pool->options.ctx, run);
+	if (run->task && run->is_unsized) {
+		run->is_unsized = false;
+		worker->unsized_count--;
+	}
 	reserve_demand(pool, worker, &run->demand);
 	set_taskless(pool, run, !run->task);
 	if (run->task)
--- /dev/null
+++ b/packages/core/tests/test_lease_capacity.c
@@ -0,0 +1,116 @@
+/*
+ * No start brings a worker over its capacity, whichever of its reports and
+ * answers are lost or late and whoever led before: a worker may start whatever
+ * it is told to.
+ */
+#include <string.h>
+
+#include "base/tests/run_suite.h"
+#include "fake_orders.h"
+
+#define ID "00000000000000a1"
+#define TASK ID ".0.0.0"
+#define OTHER_ID "00000000000000a2"
+
+static struct fake_orders *fake;
+
+static void set_up(void)
+{
+	fake = fake_orders_create();
+}
+
+static void tear_down(void)
+{
+	talloc_free(fake);
+}
+
+static const struct pool_worker *worker(const char *id)
+{
+	const struct pool_worker *w;
+
+	TAILQ_FOREACH(w, pool_workers(lease_pool(fake->dispatch)), entry)
+		if (!strcmp(w->id, id))
+			return w;
+	return NULL;
+}
+
+/*
+ * The demand of a run whose job is not known is not known either: it may use
+ * the whole worker until its end is listed, also when its stop is acknowledged.
+ */
+START_TEST(test_start_beyond_capacity_beside_a_found_run_being_stopped)
+{
+	struct lease_submission job = fake_orders_submission(OTHER_ID, 1);
+	struct pool_listed_run row = { TASK, 1, 10 };
+	struct pool_listed_end end = { 1, TASK, 1, POOL_STOPPED };
+
+	fake_orders_add_worker(fake, "w1", 1000);
+	lease_lead(fake->dispatch, 5, fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", &row, 1, NULL, 0);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 450);
+	ck_assert_uint_eq(fake->stop_count, 1);
+	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
+	fake_orders_advance(fake, FAKE_ORDERS_STOP_MS);
+	ck_assert_uint_eq(fake->start_count, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
+	ck_assert_uint_eq(fake->start_count, 1);
+}
+END_TEST
+
+/* The same for a run of a known job whose task has another run. */
+START_TEST(test_start_beyond_capacity_beside_a_second_run_being_stopped)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct lease_submission other = fake_orders_submission(OTHER_ID, 1);
+	struct pool_listed_run row = { TASK, 9, 10 };
+	struct pool_listed_end end = { 1, TASK, 9, POOL_STOPPED };
+
+	fake_orders_add_worker(fake, "w1", 1000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 1);
+	fake_orders_add_worker(fake, "w2", 1000);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_hold(fake, "w2", &row, 1, NULL, 0);
+	ck_assert_uint_eq(fake->stop_count, 1);
+	fake_orders_submit(fake, &other);
+	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
+	fake_orders_advance(fake, FAKE_ORDERS_STOP_MS);
+	ck_assert_uint_eq(fake->start_count, 1);
+	fake_orders_answer_hold(fake, "w2", NULL, 0, &end, 1);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
+/* An adopted run has the demand of its task, also once it is given up. */
+START_TEST(test_adopted_run_uses_its_demand)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct lease_submission other = fake_orders_submission(OTHER_ID, 1);
+	struct pool_listed_run row = { TASK, 1, 10 };
+
+	job.handed = 1;
+	job.closed_in_ms = 1100;
+	fake_orders_add_worker(fake, "w1", 1500);
+	lease_lead(fake->dispatch, 5, fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", &row, 1, NULL, 0);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(worker("w1")->used.cpu_milli, 1000);
+	fake_orders_submit(fake, &other);
+	lease_cancel(fake->dispatch, &job.waiter, ID, fake->now_ms);
+	fake_orders_answer_stop(fake, fake_orders_stopped(fake, TASK), POOL_OK);
+	fake_orders_advance(fake, FAKE_ORDERS_STOP_MS);
+	ck_assert_uint_eq(worker("w1")->used.cpu_milli, 1000);
+	ck_assert_uint_eq(fake->start_count, 0);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE(
+		"lease_capacity", set_up, tear_down,
+		test_start_beyond_capacity_beside_a_found_run_being_stopped,
+		test_start_beyond_capacity_beside_a_second_run_being_stopped,
+		test_adopted_run_uses_its_demand);
+}
--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -93,6 +93,7 @@
 	struct lease_submission job =
 		fake_orders_submission("00000000000000a2", 1);
 	struct pool_listed_run row = { TASK, 1, 10 };
+	struct pool_listed_end end = { 1, TASK, 1, POOL_STOPPED };
 
 	fake_orders_add_worker(fake, "w1", 4000);
 	lease_lead(fake->dispatch, 5, fake->now_ms);
@@ -109,6 +110,9 @@
 		ck_assert_uint_eq(fake->holds[i].deadline_ms, 0);
 	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
 	fake_orders_advance(fake, 20);
+	/* The run may still use the whole worker. */
+	ck_assert_uint_eq(fake->start_count, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &end, 1);
 	ck_assert_uint_eq(fake->start_count, 1);
 }
 END_TEST
