core: a restarted worker gets no task before it has registered its capacity

Operators would see: a worker that comes back under its id with less capacity runs more than it has, until its new report is read (up to a heartbeat and the watch's interval later). Cause: answers to holds and starts carry the start time of the process, so that a leader learns of the restart before the new registration. It reset the worker's runs and clock, and filled the capacity of the earlier process. An older registration that is read after that was already ignored. Change: a reset worker is not usable until its present process has registered. It counts as room in the forecast meanwhile, as a silent worker does. Why it works: all that placement compares (capacity, service, labels) then comes from the process that gets the start. The simulation: a worker reports 0.2 s after its restart and every 1.5 s; before it never did, so that a restarted worker would get no task there any more. Before / after: test_start_beyond_capacity_of_a_restarted_worker ('fake->start_count == 0' failed: 3 == 0) fails / passes; test_registration_of_a_restarted_worker_has_ its_capacity passes on both; BREAK_RESTART_ROOM and BREAK_RESTART are caught.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -59,6 +59,7 @@
 {
 	pool_close_previous_runs(pool, worker, now_ms);
 	worker->state = POOL_UNHELD;
+	worker->is_capacity_known = false;
 	worker->hold_serial = 0; /* ignores an answer of the old process */
 	worker->hold_pending = false;
 	worker->ends_read = worker->ends_acked = 0;
@@ -186,6 +187,7 @@
 	set_text(worker, &worker->data_centre, registration->data_centre);
 	set_labels(worker, registration->labels);
 	worker->capacity = registration->capacity;
+	worker->is_capacity_known = true;
 	worker->draining = registration->draining;
 	worker->registered = true;
 	pool_update_slot(pool, worker);
@@ -214,6 +216,10 @@
 /* Not while a run may use any part of the capacity, also one being stopped. */
 static bool is_room_known(const struct pool_worker *worker)
 {
+#ifndef BREAK_RESTART_ROOM
+	if (!worker->is_capacity_known)
+		return false;
+#endif
 #ifdef BREAK_FOUND_ROOM
 	return true;
 #endif
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -77,6 +77,7 @@
 	char *data_centre;
 	char **labels; /* NULL at the end */
 	struct step_job_demand capacity;
+	bool is_capacity_known; /* false: it is that of an earlier process */
 	struct step_job_demand used; /* by open runs */
 	uint64_t born_ms;
 	bool draining;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -74,7 +74,10 @@
 				const struct pool_reply *reply,
 				uint64_t now_ms);
 
-/* Resets a worker that has restarted: its runs, clock, hold and breaker. */
+/*
+ * Resets a worker that has restarted: its runs, clock, hold and breaker. It
+ * gets no task until the new process has registered its capacity.
+ */
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms);
 
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -38,6 +38,8 @@
 #define LARGE_WEIGHT 500
 #define SMALL_WEIGHT 90
 #define WEIGHT 250
+#define REPORT_MS 1500 /* between a worker's reports */
+#define FIRST_REPORT_MS 200 /* after its restart */
 
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
@@ -89,6 +91,7 @@
 	struct hold holds[MAX_NODES];
 	bool has_holds; /* one of them may wait */
 	uint64_t born; /* start time in ms */
+	uint64_t report_ms; /* instances read its next report then */
 };
 
 struct node {
@@ -764,28 +767,45 @@
 	lease_node_peer_up(b->lease_node, &hello, site->now_ms);
 }
 
-static void list_workers(struct site *site, struct node *node)
+static void list_worker(struct site *site, struct node *node,
+			const struct worker *w)
 {
 	static const char *const labels[] = { "a", NULL };
+	struct pool_registration registration = {
+		.id = w->id,
+		.address = "x",
+		.service = "s",
+		.data_centre = "d",
+		.labels = labels,
+		.capacity = { WORKER_MILLI, 32768, 0 },
+		.born_ms = w->born,
+	};
 
-	for (uint32_t i = 0; i < site->options->workers; i++) {
-		struct pool_registration registration = {
-			.id = site->workers[i].id,
-			.address = "x",
-			.service = "s",
-			.data_centre = "d",
-			.labels = labels,
-			.capacity = { WORKER_MILLI, 32768, 0 },
-			.born_ms = site->workers[i].born,
-		};
-
-		lease_node_worker_listed(node->lease_node, &registration,
-					 site->now_ms);
-	}
+	lease_node_worker_listed(node->lease_node, &registration, site->now_ms);
+}
+
+static void list_workers(struct site *site, struct node *node)
+{
+	for (uint32_t i = 0; i < site->options->workers; i++)
+		list_worker(site, node, &site->workers[i]);
 	lease_node_worker_list_complete(node->lease_node, site->now_ms);
 	node->has_list = true;
 }
 
+/* All instances that read the workers' reports read a new one. */
+static void report_worker(struct site *site, struct worker *w)
+{
+	w->report_ms = site->now_ms + REPORT_MS;
+	for (uint32_t i = 0; i < site->options->instances; i++) {
+		struct node *node = &site->nodes[i];
+
+		if (!node->has_list || !is_running(site, node))
+			continue;
+		log_instance(site, node);
+		list_worker(site, node, w);
+	}
+}
+
 static void list_instances(struct site *site, struct node *node)
 {
 	for (uint32_t i = 0; i < site->options->instances; i++)
@@ -1097,6 +1117,7 @@
 	w->fence = 0;
 	w->lease_ms = 0;
 	w->born += 1000;
+	w->report_ms = site->now_ms + FIRST_REPORT_MS;
 	memset(w->holds, 0, sizeof(w->holds));
 	HASH_ITER(hh, w->seen_runs, seen_run, next) {
 		HASH_DEL(w->seen_runs, seen_run);
@@ -1241,8 +1262,13 @@
 		deliver(site, event);
 		talloc_free(event);
 	}
-	for (uint32_t i = 0; i < o->workers; i++)
-		step_worker(site, &site->workers[i]);
+	for (uint32_t i = 0; i < o->workers; i++) {
+		struct worker *w = &site->workers[i];
+
+		step_worker(site, w);
+		if (w->report_ms <= site->now_ms)
+			report_worker(site, w);
+	}
 	for (uint32_t i = 0; i < o->instances; i++)
 		step_node(site, &site->nodes[i]);
 	note_leader(site);
--- a/packages/core/tests/test_lease_capacity.c
+++ b/packages/core/tests/test_lease_capacity.c
@@ -106,11 +106,73 @@
 }
 END_TEST
 
+/* Reports the capacity of a worker's process that started at born_ms. */
+static void report(const char *id, uint32_t milli, uint64_t born_ms)
+{
+	static const char *const labels[] = { "a", NULL };
+	struct pool_registration registration = {
+		.id = id,
+		.address = "127.0.0.1:1",
+		.service = "s",
+		.data_centre = "dc",
+		.labels = labels,
+		.capacity = { milli, 32768, 0 },
+		.born_ms = born_ms,
+	};
+
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+	lease_run(fake->dispatch, fake->now_ms);
+}
+
+/*
+ * A worker's answers tell of its restart before its registration tells of the
+ * new process's capacity.
+ */
+START_TEST(test_start_beyond_capacity_of_a_restarted_worker)
+{
+	struct lease_submission job = fake_orders_submission(ID, 3);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_advance(fake, 6000);
+	fake_orders_restart_worker(fake, "w1", 2);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	ck_assert_int_eq(worker("w1")->state, POOL_HELD);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 0);
+	/* The previous process's report, read late. */
+	report("w1", 4000, 1);
+	ck_assert_uint_eq(fake->start_count, 0);
+	report("w1", 2000, 2);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
+/* A registration that tells of the restart first tells of the capacity, too. */
+START_TEST(test_registration_of_a_restarted_worker_has_its_capacity)
+{
+	struct lease_submission job = fake_orders_submission(ID, 3);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	report("w1", 2000, 2);
+	fake_orders_restart_worker(fake, "w1", 2);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
 		"lease_capacity", set_up, tear_down,
 		test_start_beyond_capacity_beside_a_found_run_being_stopped,
 		test_start_beyond_capacity_beside_a_second_run_being_stopped,
-		test_adopted_run_uses_its_demand);
+		test_adopted_run_uses_its_demand,
+		test_start_beyond_capacity_of_a_restarted_worker,
+		test_registration_of_a_restarted_worker_has_its_capacity);
 }
--- a/packages/core/tests/test_lease_long.c
+++ b/packages/core/tests/test_lease_long.c
@@ -22,8 +22,8 @@
 #define TASK_MS 900
 
 /* Seeds that once showed two runs of a task (issue 26). */
-static const uint64_t failed[] = { 2180, 2943, 3241, 5743,
-				   5978, 5999, 6871, 8096 };
+static const uint64_t failed[] = { 2180, 2943, 3241, 5743, 5978,
+				   5999, 6871, 8096, 1502, 2101 };
 
 #define FAILED_COUNT ((int)(sizeof(failed) / sizeof(*failed)))
 
