--- a/packages/core/tests/test_lease_capacity.c
+++ b/packages/core/tests/test_lease_capacity.c
@@ -166,6 +166,30 @@
 }
 END_TEST
 
+/* Sums of demands do not wrap: a report may give any 32-bit capacity. */
+START_TEST(test_start_beyond_capacity_when_demands_wrap)
+{
+	struct lease_submission job = fake_orders_submission(ID, 2);
+	struct job_step step = job.steps[0];
+	struct pool_registration registration = {
+		.id = "w1",
+		.address = "127.0.0.1:1",
+		.service = "s",
+		.data_centre = "dc",
+		.capacity = { 4000, UINT32_MAX, 0 },
+		.born_ms = 1,
+	};
+
+	step.demand.mem_mb = 3000000000u;
+	job.steps = &step;
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 1);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -174,5 +198,6 @@
 		test_start_beyond_capacity_beside_a_second_run_being_stopped,
 		test_adopted_run_uses_its_demand,
 		test_start_beyond_capacity_of_a_restarted_worker,
-		test_registration_of_a_restarted_worker_has_its_capacity);
+		test_registration_of_a_restarted_worker_has_its_capacity,
+		test_start_beyond_capacity_when_demands_wrap);
 }
