core: a released worker gets the slots of the configuration in force

Operators would see: after the slots of a worker are lowered, a dispatcher that has handed the worker over goes on starting tasks up to the old number. Cause: a worker that is assigned to another dispatcher keeps running the jobs that were admitted before; release_worker took over the new drained state, but not the new number of slots. The present dispatcher's configure_worker did. Change: release_worker sets the slots, too. Before / after: test_start_beyond_lowered_slots_of_a_released_worker ('start_count == 4' failed: 6 == 4) fails / passes; test_start_beyond_lowered_slots, for a worker that stays, passes on both.

--- a/packages/core/dispatch_config.c
+++ b/packages/core/dispatch_config.c
@@ -82,6 +82,9 @@
 
 	if (!w)
 		return;
+#ifndef BREAK_RELEASED_SLOTS
+	w->slots = config->slots;
+#endif
 	w->leaving = drained;
 	w->present = true;
 	placement_refresh(w, &context);
--- a/packages/core/tests/test_dispatch.c
+++ b/packages/core/tests/test_dispatch.c
@@ -447,6 +447,40 @@
 }
 END_TEST
 
+/* Tasks run beyond lowered slots until they end, but none starts there. */
+START_TEST(test_start_beyond_lowered_slots)
+{
+	configure(1, 4, NULL);
+	submit(8, 10000);
+	ck_assert_int_eq(start_count, 4);
+	configure(1, 2, NULL);
+	send_result(0, PORT_DONE);
+	send_result(1, PORT_DONE);
+	ck_assert_int_eq(start_count, 4);
+	send_result(2, PORT_DONE);
+	ck_assert_int_eq(start_count, 5);
+	configure(1, 3, NULL);
+	ck_assert_int_eq(start_count, 6);
+}
+END_TEST
+
+/* Its former dispatcher goes on with the jobs that it has admitted. */
+START_TEST(test_start_beyond_lowered_slots_of_a_released_worker)
+{
+	configure(1, 4, NULL);
+	submit(8, 10000);
+	ck_assert_int_eq(start_count, 4);
+	configure(1, 2, mem);
+	send_result(0, PORT_DONE);
+	send_result(1, PORT_DONE);
+	ck_assert_int_eq(start_count, 4);
+	send_result(2, PORT_DONE);
+	ck_assert_int_eq(start_count, 5);
+	configure(1, 3, mem);
+	ck_assert_int_eq(start_count, 6);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("dispatch");
@@ -470,6 +504,9 @@
 	tcase_add_test(tc, test_only_worker_is_used_though_slow);
 	tcase_add_test(tc, test_jobs_that_fail_everywhere_open_few_breakers);
 	tcase_add_test(tc, test_released_worker_finishes_admitted_jobs);
+	tcase_add_test(tc, test_start_beyond_lowered_slots);
+	tcase_add_test(tc,
+		       test_start_beyond_lowered_slots_of_a_released_worker);
 	suite_add_tcase(suite, tc);
 	return run_suite(suite);
 }
