core/tests: capacity that shrinks and grows while tasks start, stop or run

Change: seven tests in test_lease_capacity: a capacity that shrinks during a start on its way and with a lost answer, during a stop, below what runs, to nothing, in memory and accelerators; at a raised claim, with another leader's run, after a cut in which the lease lapsed; a report that cannot be read.

--- a/packages/core/tests/test_lease_capacity.c
+++ b/packages/core/tests/test_lease_capacity.c
@@ -190,6 +190,222 @@
 }
 END_TEST
 
+/* Returns a job that may wait for long. */
+static struct lease_submission patient(const char *id, uint32_t tasks)
+{
+	struct lease_submission job = fake_orders_submission(id, tasks);
+
+	job.objective_ms = 4000;
+	job.remaining_ms = 20000;
+	return job;
+}
+
+/* A start that is on its way, or whose answer is lost, uses its demand. */
+START_TEST(test_start_beyond_capacity_that_shrank_during_a_start)
+{
+	struct lease_submission job = patient(ID, 2);
+	struct lease_submission other = patient(OTHER_ID, 2);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 2);
+	report("w1", 2000, 1);
+	fake_orders_submit(fake, &other);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_NO_ANSWER);
+	fake_orders_answer_start(fake, &fake->starts[1], POOL_NO_ANSWER);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 2);
+	/* Neither is listed: both may still begin and are stopped. */
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	ck_assert_uint_eq(fake->stop_count, 2);
+	ck_assert_uint_eq(fake->start_count, 2);
+	report("w1", 3000, 1);
+	ck_assert_uint_eq(fake->start_count, 3);
+}
+END_TEST
+
+/* What is being stopped counts until its end is listed. */
+START_TEST(test_start_beyond_capacity_that_shrank_during_a_stop)
+{
+	struct lease_submission job = patient(ID, 2);
+	struct lease_submission other = patient(OTHER_ID, 1);
+	struct pool_listed_run row = { ID ".0.0.1", 1, 50 };
+	struct pool_listed_end ends[] = { { 1, TASK, 1, POOL_STOPPED },
+					  { 2, ID ".0.0.1", 1, POOL_STOPPED } };
+
+	fake_orders_add_worker(fake, "w1", 2000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_answer_start(fake, &fake->starts[1], POOL_OK);
+	fake_orders_submit(fake, &other);
+	lease_cancel(fake->dispatch, &job.waiter, ID, fake->now_ms);
+	fake_orders_answer_stop(fake, fake_orders_stopped(fake, TASK), POOL_OK);
+	fake_orders_answer_stop(fake, fake_orders_stopped(fake, ID ".0.0.1"),
+				POOL_OK);
+	report("w1", 1000, 1);
+	fake_orders_advance(fake, FAKE_ORDERS_STOP_MS);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_answer_hold(fake, "w1", &row, 1, ends, 1);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, ends, 2);
+	ck_assert_uint_eq(fake->start_count, 3);
+}
+END_TEST
+
+START_TEST(test_start_beyond_capacity_that_shrank_below_what_runs)
+{
+	struct lease_submission job = patient(ID, 3);
+	struct lease_submission other = patient(OTHER_ID, 1);
+	struct pool_listed_run row = { ID ".0.0.2", 1, 50 };
+	struct pool_listed_end ends[] = { { 1, TASK, 1, POOL_DONE },
+					  { 2, ID ".0.0.1", 1, POOL_DONE },
+					  { 3, ID ".0.0.2", 1, POOL_DONE } };
+
+	fake_orders_add_worker(fake, "w1", 3000);
+	fake_orders_add_worker(fake, "w2", 0);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 3);
+	for (int i = 0; i < 3; i++)
+		fake_orders_answer_start(fake, &fake->starts[i], POOL_OK);
+	fake_orders_submit(fake, &other);
+	report("w1", 999, 1);
+	fake_orders_answer_hold(fake, "w1", &row, 1, ends, 2);
+	ck_assert_uint_eq(fake->start_count, 3);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, ends, 3);
+	ck_assert_uint_eq(fake->start_count, 3);
+	report("w1", 0, 1);
+	fake_orders_advance(fake, 50);
+	ck_assert_uint_eq(fake->start_count, 3);
+	report("w1", 1000, 1);
+	ck_assert_uint_eq(fake->start_count, 4);
+}
+END_TEST
+
+/* Other demands than processor time shrink, too. */
+START_TEST(test_start_beyond_capacity_of_memory_and_accelerators)
+{
+	struct lease_submission job = patient(ID, 2);
+	struct job_step step = job.steps[0];
+	struct pool_registration registration = {
+		.id = "w1",
+		.address = "127.0.0.1:1",
+		.service = "s",
+		.data_centre = "dc",
+		.capacity = { 8000, 128, 1 },
+		.born_ms = 1,
+	};
+
+	step.demand.accelerators = 1;
+	job.steps = &step;
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 1);
+	registration.capacity = (struct step_job_demand){ 8000, 64, 2 };
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+	fake_orders_advance(fake, 10);
+	ck_assert_uint_eq(fake->start_count, 1);
+	registration.capacity = (struct step_job_demand){ 8000, 128, 2 };
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+	fake_orders_advance(fake, 10);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
+/*
+ * A raised claim does not free what starts under the former one use, nor does
+ * a worker that was taken back from another leader.
+ */
+START_TEST(test_start_beyond_capacity_after_a_change_of_the_leader)
+{
+	struct lease_submission job = patient(ID, 1);
+	struct lease_submission other = patient(OTHER_ID, 1);
+	struct pool_listed_run rows[] = { { TASK, 1, 50 },
+					  { "00000000000000a3.0.0.0", 1, 1 } };
+	struct pool_listed_end end = { 1, "00000000000000a3.0.0.0", 1,
+				       POOL_STOPPED };
+
+	fake_orders_add_worker(fake, "w1", 2000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 1);
+	lease_lead(fake->dispatch, 6, fake->now_ms);
+	report("w1", 1000, 1);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_submit(fake, &other);
+	ck_assert_uint_eq(fake->start_count, 1);
+	/* Another leader's run fills the room that has grown again. */
+	report("w1", 2000, 1);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_answer_start(fake, &fake->starts[1], POOL_FENCED);
+	fake_orders_advance(fake, 1000);
+	fake_orders_answer_hold(fake, "w1", rows, 2, NULL, 0);
+	fake_orders_advance(fake, 420);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_answer_stop(
+		fake, fake_orders_stopped(fake, "00000000000000a3.0.0.0"),
+		POOL_OK);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 2);
+	fake_orders_answer_hold(fake, "w1", rows, 1, &end, 1);
+	ck_assert_uint_eq(fake->start_count, 3);
+}
+END_TEST
+
+/*
+ * A worker that was cut off for longer than its lease may run what another
+ * leader has started there.
+ */
+START_TEST(test_start_beyond_capacity_after_a_cut)
+{
+	struct lease_submission job = patient(ID, 1);
+	struct pool_listed_run row = { "00000000000000a3.0.0.0", 1, 1 };
+	uint64_t begin_ms = fake->now_ms;
+
+	fake_orders_add_worker(fake, "w1", 1000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_NO_ANSWER);
+	while (worker("w1")->run_count) { /* until its lease has lapsed */
+		ck_assert_uint_lt(fake->now_ms, begin_ms + 10000);
+		fake_orders_advance(fake, 90); /* a hold times out */
+		fake_orders_lose_hold(fake, "w1");
+	}
+	ck_assert_uint_eq(fake->start_count, 1);
+	fake_orders_advance(fake, 1000);
+	fake_orders_answer_hold(fake, "w1", &row, 1, NULL, 0);
+	fake_orders_advance(fake, 50);
+	ck_assert_uint_eq(fake->start_count, 1);
+}
+END_TEST
+
+/* A worker whose report cannot be read is unregistered until the next one. */
+START_TEST(test_start_beyond_capacity_that_is_missing)
+{
+	struct lease_submission job = patient(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 1000);
+	fake_orders_add_worker(fake, "w2", 1000);
+	fake_orders_lead(fake, 5);
+	report("w2", 0, 1);
+	pool_unregister_worker(lease_pool(fake->dispatch), "w1", fake->now_ms);
+	report("w2", 500, 1);
+	lease_submit(fake->dispatch, &job, fake->now_ms);
+	fake_orders_advance(fake, 50);
+	ck_assert_uint_eq(fake->start_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -199,5 +415,12 @@
 		test_adopted_run_uses_its_demand,
 		test_start_beyond_capacity_of_a_restarted_worker,
 		test_registration_of_a_restarted_worker_has_its_capacity,
-		test_start_beyond_capacity_when_demands_wrap);
+		test_start_beyond_capacity_when_demands_wrap,
+		test_start_beyond_capacity_that_shrank_during_a_start,
+		test_start_beyond_capacity_that_shrank_during_a_stop,
+		test_start_beyond_capacity_that_shrank_below_what_runs,
+		test_start_beyond_capacity_of_memory_and_accelerators,
+		test_start_beyond_capacity_after_a_change_of_the_leader,
+		test_start_beyond_capacity_after_a_cut,
+		test_start_beyond_capacity_that_is_missing);
 }
