core/tests: whole instances with workers whose capacity changes

Change: with is_unguarded workers start what does not fit and take up to stop_ms to stop a run; their capacity changes, also at a restart, between nothing and four tasks; three reports in ten are read late, with the next one.

--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -40,6 +40,13 @@
 #define WEIGHT 250
 #define REPORT_MS 1500 /* between a worker's reports */
 #define FIRST_REPORT_MS 200 /* after its restart */
+#define LOST_REPORT_PERCENT                                                    \
+	30 /* read late by an instance, with the next one                      \
+	    */
+/* contact_ms and a report: from then on a capacity that has shrunk counts. */
+#define SHRINK_MS 4500
+/* The same after a restart: the first report, or the next one, is read. */
+#define RESTART_SHRINK_MS 2000
 
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
@@ -48,6 +55,7 @@
 	int node; /* the instance that started it */
 	uint64_t started_ms;
 	uint64_t ends_ms;
+	bool is_stopping;
 };
 
 struct end {
@@ -92,6 +100,10 @@
 	bool has_holds; /* one of them may wait */
 	uint64_t born; /* start time in ms */
 	uint64_t report_ms; /* instances read its next report then */
+	uint32_t missed; /* instances that have not read the last one */
+	uint32_t milli; /* capacity */
+	uint32_t old_milli; /* before the last change, at changed_ms */
+	uint64_t changed_ms;
 };
 
 struct node {
@@ -105,6 +117,7 @@
 	uint64_t stop_ends_ms; /* end of a planned stop; 0: not stopping */
 	uint64_t flush_ms; /* time of the scheduled flush; 0: none */
 	bool has_list; /* of the workers */
+	bool has_missed; /* reports while it was frozen */
 	char name[16];
 };
 
@@ -536,6 +549,19 @@
 		site->result->resent_runs++;
 }
 
+static void check_capacity(struct site *site, const struct worker *w,
+			   const struct event *start)
+{
+	uint32_t milli = w->milli;
+
+	if (w->changed_ms + SHRINK_MS > site->now_ms && w->old_milli > milli)
+		milli = w->old_milli;
+	if ((w->run_count + 1) * TASK_MILLI <= milli)
+		return;
+	report_error(site, "started beyond the worker's capacity", start->task);
+	site->result->over_capacity++;
+}
+
 /* Returns the number of the attempt of the caller that the start serves. */
 static uint32_t check_start(struct site *site, const struct event *start)
 {
@@ -575,7 +601,9 @@
 			return POOL_OK;
 	if (seen_run->number >= e->number)
 		return POOL_RUN_OLD;
-	if ((w->run_count + 1) * TASK_MILLI > WORKER_MILLI)
+	if (site->options->is_unguarded && w->run_count < MAX_RUNS)
+		check_capacity(site, w, e);
+	else if ((w->run_count + 1) * TASK_MILLI > WORKER_MILLI)
 		return POOL_DOES_NOT_FIT;
 	log_info(LOG_TARGET,
 		 "at %" PRIu64 " ms: worker %s starts run %u of task %s for "
@@ -589,6 +617,7 @@
 	run->attempt = attempt;
 	run->node = e->node;
 	run->started_ms = site->now_ms;
+	run->is_stopping = false;
 	run->ends_ms = site->now_ms + MIN_RUN_MS +
 		       random_below(&site->random, 2 * task_ms(site));
 	if (e->deadline_ms > w->lease_ms)
@@ -596,7 +625,26 @@
 	return POOL_OK;
 }
 
-static enum pool_answer stop_run(struct worker *w, const struct event *e)
+/* Returns true if the run has ended at once. */
+static bool end_by_stop(struct site *site, struct worker *w, size_t i)
+{
+	struct run *run = &w->runs[i];
+	uint64_t ends_ms = site->now_ms;
+
+	if (site->options->is_unguarded && !run->is_stopping)
+		ends_ms += random_below(&site->random, STOP_MS + 1);
+	run->is_stopping = true;
+	if (ends_ms > site->now_ms) {
+		if (ends_ms < run->ends_ms)
+			run->ends_ms = ends_ms;
+		return false;
+	}
+	end_run(w, i, POOL_STOPPED);
+	return true;
+}
+
+static enum pool_answer stop_run(struct site *site, struct worker *w,
+				 const struct event *e)
 {
 	struct seen_run *seen_run = get_seen_run(w, e->task);
 
@@ -604,8 +652,9 @@
 		seen_run->number = e->number;
 	for (size_t i = 0; i < w->run_count; i++)
 		if (w->runs[i].number <= e->number &&
-		    !strcmp(w->runs[i].task, e->task))
-			end_run(w, i--, POOL_STOPPED);
+		    !strcmp(w->runs[i].task, e->task) &&
+		    end_by_stop(site, w, i))
+			i--;
 	return POOL_OK;
 }
 
@@ -679,7 +728,7 @@
 		reply_later(site, e, start_run(site, w, e));
 		break;
 	case ORDER_STOP:
-		reply_later(site, e, stop_run(w, e));
+		reply_later(site, e, stop_run(site, w, e));
 		break;
 	}
 }
@@ -728,11 +777,15 @@
 
 static void step_worker(struct site *site, struct worker *w)
 {
-	for (size_t i = 0; i < w->run_count; i++)
+	for (size_t i = 0; i < w->run_count; i++) {
+		const struct run *run = &w->runs[i];
+		enum pool_end how = run->is_stopping ? POOL_STOPPED : POOL_DONE;
+
 		if (w->lease_ms <= site->now_ms)
 			end_run(w, i--, POOL_LAPSED);
-		else if (w->runs[i].ends_ms <= site->now_ms)
-			end_run(w, i--, POOL_DONE);
+		else if (run->ends_ms <= site->now_ms)
+			end_run(w, i--, how);
+	}
 	if (!w->has_holds)
 		return;
 	w->has_holds = false;
@@ -777,7 +830,7 @@
 		.service = "s",
 		.data_centre = "d",
 		.labels = labels,
-		.capacity = { WORKER_MILLI, 32768, 0 },
+		.capacity = { w->milli, 32768, 0 },
 		.born_ms = w->born,
 	};
 
@@ -792,18 +845,32 @@
 	node->has_list = true;
 }
 
-/* All instances that read the workers' reports read a new one. */
+/*
+ * Instances that read the workers' reports read a new one. Some read it late;
+ * a frozen one does once it runs again.
+ */
 static void report_worker(struct site *site, struct worker *w)
 {
+	uint32_t missed = 0;
+
 	w->report_ms = site->now_ms + REPORT_MS;
 	for (uint32_t i = 0; i < site->options->instances; i++) {
 		struct node *node = &site->nodes[i];
 
-		if (!node->has_list || !is_running(site, node))
+		if (!node->has_list)
 			continue;
-		log_instance(site, node);
-		list_worker(site, node, w);
+		if (!is_running(site, node)) {
+			node->has_missed = site->options->is_unguarded;
+		} else if (site->options->is_unguarded &&
+			   !(w->missed & 1u << i) &&
+			   happens(site, LOST_REPORT_PERCENT)) {
+			missed |= 1u << i;
+		} else {
+			log_instance(site, node);
+			list_worker(site, node, w);
+		}
 	}
+	w->missed = missed;
 }
 
 static void list_instances(struct site *site, struct node *node)
@@ -919,6 +986,11 @@
 
 static void step_node(struct site *site, struct node *node)
 {
+	if (node->has_missed && is_running(site, node)) {
+		node->has_missed = false;
+		log_instance(site, node);
+		list_workers(site, node);
+	}
 	if (node->restart_ms && node->restart_ms <= site->now_ms)
 		start_node(site, node);
 	else if (node->stop_ends_ms && node->stop_ends_ms <= site->now_ms &&
@@ -1102,6 +1174,27 @@
 	link_nodes(site, a, b);
 }
 
+static void resize_worker(struct site *site, struct worker *w)
+{
+	w->old_milli = w->milli;
+	w->milli = TASK_MILLI *
+		   (uint32_t)random_below(&site->random,
+					  WORKER_MILLI / TASK_MILLI + 1);
+	w->changed_ms = site->now_ms;
+	log_info(LOG_TARGET, "at %" PRIu64 " ms: worker %s has %u milli cores",
+		 site->now_ms, w->id, w->milli);
+}
+
+static void resize_random_worker(struct site *site)
+{
+	struct worker *w = &site->workers[random_below(&site->random,
+						       site->options->workers)];
+
+	/* check_capacity knows one earlier capacity. */
+	if (w->changed_ms + SHRINK_MS <= site->now_ms)
+		resize_worker(site, w);
+}
+
 /* Restarts a worker under its id, without its state. */
 static void crash_worker(struct site *site)
 {
@@ -1117,6 +1210,10 @@
 	w->fence = 0;
 	w->lease_ms = 0;
 	w->born += 1000;
+	if (site->options->is_unguarded) {
+		resize_worker(site, w);
+		w->changed_ms -= SHRINK_MS - RESTART_SHRINK_MS;
+	}
 	w->report_ms = site->now_ms + FIRST_REPORT_MS;
 	memset(w->holds, 0, sizeof(w->holds));
 	HASH_ITER(hh, w->seen_runs, seen_run, next) {
@@ -1128,12 +1225,19 @@
 static void inject_fault(struct site *site)
 {
 	static void (*const faults[])(struct site *) = {
-		cut_link,	  cut_site,	    cut_worker, freeze_node,
-		kill_random_node, stop_random_node, reset_link, crash_worker,
+		cut_link,
+		cut_site,
+		cut_worker,
+		freeze_node,
+		kill_random_node,
+		stop_random_node,
+		reset_link,
+		crash_worker,
+		resize_random_worker, /* the last one */
 	};
-
-	size_t kind =
-		random_below(&site->random, sizeof(faults) / sizeof(faults[0]));
+	size_t kinds = sizeof(faults) / sizeof(faults[0]) -
+		       !site->options->is_unguarded;
+	size_t kind = random_below(&site->random, kinds);
 
 	site->result->faults++;
 	log_info(LOG_MAIN, "at %" PRIu64 " ms: fault %zu", site->now_ms, kind);
@@ -1284,6 +1388,7 @@
 		snprintf(site->workers[i].id, sizeof(site->workers[i].id),
 			 "w%u", i);
 		site->workers[i].born = 1000;
+		site->workers[i].milli = WORKER_MILLI;
 	}
 	for (uint32_t i = 0; i < site->options->instances; i++) {
 		struct node *node = &site->nodes[i];
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -30,6 +30,11 @@
 	/* Estimate of a task, which runs for up to twice as long; 0: 300. */
 	uint32_t task_ms;
 	uint32_t faults_per_s;
+	/*
+	 * Workers start what does not fit, and take up to stop_ms to stop it;
+	 * one of the faults is that a worker's capacity changes.
+	 */
+	bool is_unguarded;
 	uint64_t seed;
 };
 
@@ -44,6 +49,7 @@
 	uint32_t resent_runs; /* the same, the caller having sent it again */
 	/* starts after the same leader acknowledged the task's end as done */
 	uint32_t repeated_runs;
+	uint32_t over_capacity; /* starts that a worker had no room for */
 	uint32_t wrong_answers; /* refused but run, or answered twice */
 	uint32_t faults;
 	uint32_t leaders; /* at the end */
