core: the status counts no room on a worker that runs more than it has

Operators saw: free_milli of some 4 billion once a worker's capacity is below what runs on it. Cause: used was subtracted from the capacity in 32 bits. Change: such a worker has no free room. Before / after: test_free_room_of_a_worker_that_runs_more_than_it_has ('free_milli() == 0' failed: == 0) fails / passes.

--- a/packages/core/lease_node_status.c
+++ b/packages/core/lease_node_status.c
@@ -108,8 +108,10 @@
 		if (!pool_is_usable(worker, now_ms))
 			continue;
 		totals->usable++;
-		totals->free_milli +=
-			worker->capacity.cpu_milli - worker->used.cpu_milli;
+		/* A capacity that has shrunk may be less than what runs. */
+		if (worker->used.cpu_milli < worker->capacity.cpu_milli)
+			totals->free_milli += worker->capacity.cpu_milli -
+					      worker->used.cpu_milli;
 	}
 	return list;
 }
