core/lease_pool: a demand past 32 bits fits no worker

Cause: the sum of what is used and needed wrapped. Change: what is needed is compared with what is left.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -238,15 +238,20 @@
 	       is_silent_for_a_moment(worker, now_ms);
 }
 
+static bool has_room(uint32_t capacity, uint32_t used, uint32_t demand)
+{
+	return used <= capacity && demand <= capacity - used;
+}
+
 bool pool_fits(const struct pool_worker *worker,
 	       const struct step_job_demand *demand)
 {
 	const struct step_job_demand *c = &worker->capacity;
 	const struct step_job_demand *u = &worker->used;
 
-	return u->cpu_milli + demand->cpu_milli <= c->cpu_milli &&
-	       u->mem_mb + demand->mem_mb <= c->mem_mb &&
-	       u->accelerators + demand->accelerators <= c->accelerators;
+	return has_room(c->cpu_milli, u->cpu_milli, demand->cpu_milli) &&
+	       has_room(c->mem_mb, u->mem_mb, demand->mem_mb) &&
+	       has_room(c->accelerators, u->accelerators, demand->accelerators);
 }
 
 void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms)
