base/json_text: a list's deeply nested elements can be left out

Cause: json-c refuses a whole text when one value in it is nested beyond its limit, so that a list with one such element can't be read at all. Change: json_text_blank_deep overwrites these elements before the text is parsed, in one pass without recursion or memory of its own.

--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #define MAX_ESCAPE_BYTES 6 /* \u00XX */
 #define HEX_BYTES 17 /* of 64 bits, with the final NUL */
@@ -42,6 +43,59 @@
 	return json_object_get_string(v);
 }
 
+/* Returns the index of the quote that ends the string starting at i. */
+static size_t end_of_string(const char *text, size_t len, size_t i)
+{
+	for (i++; i < len && text[i] != '"'; i++)
+		if (text[i] == '\\')
+			i++;
+	return i;
+}
+
+/* Quotes the beginning of an element, which may hold any bytes. */
+static void take_sample(const char *text, size_t len, char *sample, size_t size)
+{
+	char part[JSON_TEXT_SAMPLE_BYTES];
+
+	if (len >= sizeof(part))
+		len = sizeof(part) - 1;
+	for (size_t i = 0; i < len; i++)
+		part[i] = text[i] >= ' ' && text[i] < 0x7f ? text[i] : '?';
+	part[len] = '\0';
+	json_text_quote(sample, size, part);
+}
+
+size_t json_text_blank_deep(char *text, size_t len, unsigned row_depth,
+			    unsigned max_depth, char *sample, size_t size)
+{
+	size_t depth = 0, deepest = 0, begin = 0, count = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		char c = text[i];
+
+		if (c == '"') {
+			i = end_of_string(text, len, i);
+		} else if (c == '[' || c == '{') {
+			if (depth == row_depth) {
+				begin = i;
+				deepest = 0;
+			}
+			if (++depth > deepest)
+				deepest = depth;
+		} else if (c == ']' || c == '}') {
+			if (!depth)
+				break;
+			if (--depth != row_depth || deepest <= max_depth)
+				continue;
+			take_sample(text + begin, i + 1 - begin, sample, size);
+			memset(text + begin, ' ', i + 1 - begin);
+			text[begin] = '0';
+			count++;
+		}
+	}
+	return count;
+}
+
 void json_text_add_text(json_object *obj, const char *key, const char *value)
 {
 	json_object_object_add(obj, key, json_object_new_string(value));
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -23,6 +23,19 @@
  */
 const char *json_text_get(json_object *obj, const char *key);
 
+#define JSON_TEXT_SAMPLE_BYTES 96 /* of an element that is quoted in logs */
+
+/*
+ * Overwrites each element of a list in a JSON text that has brackets nested
+ * deeper than max_depth, so that the text can be parsed with that limit and
+ * the other elements are kept. An overwritten element reads as 0. row_depth is
+ * the number of brackets around an element: 1 for a text that is a list.
+ * Returns the number of such elements; sample, of size bytes, gets the
+ * beginning of the last one as a JSON string and is unchanged without one.
+ */
+size_t json_text_blank_deep(char *text, size_t len, unsigned row_depth,
+			    unsigned max_depth, char *sample, size_t size);
+
 /* Add a string, a number or a boolean to an object. */
 void json_text_add_text(json_object *obj, const char *key, const char *value);
 void json_text_add_number(json_object *obj, const char *key, uint64_t value);
--- a/packages/base/tests/test_text.c
+++ b/packages/base/tests/test_text.c
@@ -42,6 +42,79 @@
 }
 END_TEST
 
+static char *nested(size_t depth)
+{
+	char *text = calloc(1, 2 * depth + 1);
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	return text;
+}
+
+/* One deeply nested element must not take the others with it. */
+START_TEST(test_deep_element_among_others)
+{
+	static const size_t depths[] = { 40, 10000 };
+
+	for (size_t i = 0; i < 2; i++) {
+		char *deep = nested(depths[i]);
+		size_t room = strlen(deep) + 100;
+		char *text = calloc(1, room);
+		char sample[32] = "";
+		json_object *list;
+
+		snprintf(text, room, "[{\"a\":\"[\\\"[\"},{\"b\":%s},[7]]",
+			 deep);
+		ck_assert_uint_eq(json_text_blank_deep(text, strlen(text), 1, 8,
+						       sample, sizeof(sample)),
+				  1);
+		ck_assert_int_eq(strncmp(sample, "\"{\\\"b\\\":[", 9), 0);
+		list = json_tokener_parse(text);
+		ck_assert_uint_eq(json_object_array_length(list), 3);
+		ck_assert_str_eq(
+			json_text_get(json_object_array_get_idx(list, 0), "a"),
+			"[\"[");
+		ck_assert(json_object_is_type(
+			json_object_array_get_idx(list, 1), json_type_int));
+		ck_assert(json_object_is_type(
+			json_object_array_get_idx(list, 2), json_type_array));
+		json_object_put(list);
+		free(text);
+		free(deep);
+	}
+}
+END_TEST
+
+/* Any bytes are read within their length. */
+START_TEST(test_deep_elements_of_broken_texts)
+{
+	static const char *const texts[] = {
+		"",
+		"\"",
+		"\"\\",
+		"]",
+		"[",
+		"[[[[[[",
+		"]]]][[[[",
+		"[\"\\\"",
+		"{\"a\":[[[[[",
+		"[[[[]]]]]]]]",
+	};
+	char sample[32];
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		size_t len = strlen(texts[i]);
+		char *text = malloc(len + 1);
+
+		memcpy(text, texts[i], len);
+		ck_assert_uint_le(json_text_blank_deep(text, len, 1, 2, sample,
+						       sizeof(sample)),
+				  1);
+		free(text);
+	}
+}
+END_TEST
+
 START_TEST(test_counters)
 {
 	char *text;
@@ -86,6 +159,8 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, test_quote);
 	tcase_add_test(tc, test_quote_truncated);
+	tcase_add_test(tc, test_deep_element_among_others);
+	tcase_add_test(tc, test_deep_elements_of_broken_texts);
 	tcase_add_test(tc, test_counters);
 	tcase_add_test(tc, test_histograms);
 	suite_add_tcase(s, tc);
