--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -52,8 +52,7 @@
 	return i;
 }
 
-/* Quotes the beginning of an element, which may hold any bytes. */
-static void take_sample(const char *text, size_t len, char *sample, size_t size)
+void json_text_sample(char *buf, size_t size, const char *text, size_t len)
 {
 	char part[JSON_TEXT_SAMPLE_BYTES];
 
@@ -62,7 +61,7 @@
 	for (size_t i = 0; i < len; i++)
 		part[i] = text[i] >= ' ' && text[i] < 0x7f ? text[i] : '?';
 	part[len] = '\0';
-	json_text_quote(sample, size, part);
+	json_text_quote(buf, size, part);
 }
 
 size_t json_text_blank_deep(char *text, size_t len, unsigned row_depth,
@@ -87,7 +86,8 @@
 				break;
 			if (--depth != row_depth || deepest <= max_depth)
 				continue;
-			take_sample(text + begin, i + 1 - begin, sample, size);
+			json_text_sample(sample, size, text + begin,
+					 i + 1 - begin);
 			memset(text + begin, ' ', i + 1 - begin);
 			text[begin] = '0';
 			count++;
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -23,7 +23,13 @@
  */
 const char *json_text_get(json_object *obj, const char *key);
 
-#define JSON_TEXT_SAMPLE_BYTES 96 /* of an element that is quoted in logs */
+#define JSON_TEXT_SAMPLE_BYTES 96 /* of text that is quoted in logs */
+
+/*
+ * Writes the beginning of len bytes of text as a quoted string of printable
+ * ASCII, with other bytes as '?', for logs.
+ */
+void json_text_sample(char *buf, size_t size, const char *text, size_t len);
 
 /*
  * Overwrites each element of a list in a JSON text that has brackets nested
