--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/host_port.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "wire/deflate.h"
 
@@ -188,6 +190,21 @@
 	send_config(lease_node, member, now_ms);
 }
 
+/* Dials an instance that a beat names. */
+static void note_address(struct lease_node *lease_node, const char *address)
+{
+	size_t len = strlen(address);
+	char sample[JSON_TEXT_SAMPLE_BYTES];
+
+	if (host_port_classify(address, len) == HOST_PORT_NUMERIC) {
+		lease_node_member_listed(lease_node, address);
+		return;
+	}
+	json_text_sample(sample, sizeof(sample), address, len);
+	log_info(LOG_MEMBER, "address %s in a beat is not IP:PORT; ignored",
+		 sample);
+}
+
 static void on_beat(struct lease_node *lease_node, uint64_t from,
 		    const Bergamot__LeaderBeat *beat, uint64_t now_ms)
 {
@@ -195,7 +212,7 @@
 
 	leader_receive_beat(lease_node->members, from, beat, now_ms);
 	for (size_t i = 0; i < beat->n_addresses; i++)
-		lease_node_member_listed(lease_node, beat->addresses[i]);
+		note_address(lease_node, beat->addresses[i]);
 	if (beat->claim && from == lease_node->leader) {
 		clear_backlogs(lease_node);
 		for (size_t i = 0; i < beat->n_waiting && i < MAX_BACKLOGS; i++)
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -103,6 +103,7 @@
 	uint64_t flush_ms; /* time of the scheduled flush; 0: none */
 	bool has_list; /* of the workers */
 	char name[16];
+	char address[24]; /* of its peer links */
 };
 
 enum event_kind {
@@ -749,7 +750,7 @@
 	bergamot__hello__init(hello);
 	hello->incarnation = node->incarnation;
 	hello->instance = (char *)node->name;
-	hello->address = (char *)node->name;
+	hello->address = (char *)node->address;
 }
 
 static void link_nodes(struct site *site, struct node *a, struct node *b)
@@ -789,7 +790,8 @@
 static void list_instances(struct site *site, struct node *node)
 {
 	for (uint32_t i = 0; i < site->options->instances; i++)
-		lease_node_member_listed(node->lease_node, site->nodes[i].name);
+		lease_node_member_listed(node->lease_node,
+					 site->nodes[i].address);
 	lease_node_member_list_complete(node->lease_node);
 }
 
@@ -817,7 +819,7 @@
 	struct lease_node_options options = {
 		.ports = &node->ports,
 		.instance = node->name,
-		.address = node->name,
+		.address = node->address,
 		.weight = weight_of(site, node),
 		.direct_workers = site->options->direct_workers,
 		.first_start = site->options->first_start && !site->started,
@@ -1268,6 +1270,8 @@
 			snprintf(node->name, sizeof(node->name), "n%u", i);
 		else
 			node->name[0] = (char)('a' + i);
+		snprintf(node->address, sizeof(node->address), "10.0.%u.%u:1",
+			 i / 250, i % 250);
 		start_node(site, node);
 	}
 	site->started = true;
--- a/packages/core/tests/test_lease_node_peer.c
+++ b/packages/core/tests/test_lease_node_peer.c
@@ -132,6 +132,37 @@
 }
 END_TEST
 
+/* An odd address in a beat is no instance to dial or to count. */
+START_TEST(test_odd_address_in_a_beat_is_not_dialled)
+{
+	char text[10240];
+	char *addresses[] = {
+		(char *)"10.0.0.1:1",
+		(char *)"",
+		(char *)":",
+		(char *)"10.0.0.1:0",
+		(char *)"10.0.0.1:99999",
+		(char *)"10.0.0.1:",
+		(char *)"[::1",
+		(char *)"\xff",
+		text,
+		(char *)"10.0.0.2:1",
+	};
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	memset(text, '1', sizeof(text));
+	text[sizeof(text) - 1] = '\0';
+	beat.addresses = addresses;
+	beat.n_addresses = sizeof(addresses) / sizeof(addresses[0]);
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	dials = 0;
+	lease_node_peer_message(node, 1, &peer, now_ms);
+	ck_assert_uint_eq(dials, 2);
+}
+END_TEST
+
 START_TEST(test_new_version_is_not_broadcast)
 {
 	lease_node_config_read(node, "2", 1, now_ms);
@@ -218,9 +249,11 @@
 
 int main(void)
 {
-	return RUN_CASE(
-		"lease_node_peer", set_up, tear_down,
-		test_all_members_are_dialled, test_new_version_is_not_broadcast,
-		test_member_that_stays_behind_gets_it,
-		test_new_member_is_given_time, test_damaged_job_is_refused);
+	return RUN_CASE("lease_node_peer", set_up, tear_down,
+			test_all_members_are_dialled,
+			test_odd_address_in_a_beat_is_not_dialled,
+			test_new_version_is_not_broadcast,
+			test_member_that_stays_behind_gets_it,
+			test_new_member_is_given_time,
+			test_damaged_job_is_refused);
 }
