adapters/platform: one odd entry of a list takes no other with it

Seen by callers: instances and leaving workers that came after an odd entry were not noticed. Cause: one call parsed the whole list, with json-c's limit of 32 nested values: one entry nested deeper made it a list of no entries, without a log line, and its index was noted as read, so that nothing of it was read until the next change. Change: entries nested more than 16 deep are overwritten before the parse; an instance needs IP:PORT, a worker a name that the document may have (its address is not used); what is left out is logged with its ID and reason, when it changes and once in 10 s. An entry that is left out leaves what was known of a worker or instance as it was: here a list only adds addresses to dial and marks those that leave.

--- a/packages/adapters/platform_text.c
+++ b/packages/adapters/platform_text.c
@@ -1,14 +1,21 @@
 #include "adapters/platform_text.h"
 
+#include <inttypes.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/base64.h"
+#include "base/host_port.h"
 #include "base/json_text.h"
 
-#define MAX_ADDRESS_BYTES 128
+#define MAX_ID_BYTES 200
+/* Of a worker's name in the document. */
+#define MAX_NAME_BYTES 63
+/* Brackets around an entry of a list, and the most that an entry may nest. */
+#define ENTRY_DEPTH 1
+#define MAX_DEPTH 16
 
 static bool read_entry(TALLOC_CTX *mem, json_object *entry,
 		       struct platform_text_value *value)
@@ -76,35 +83,122 @@
 	return leaving && !strcmp(leaving, "true");
 }
 
-void platform_text_for_each_listed(
-	const struct http_client_answer *a,
+/* Returns a string without a NUL; NULL for any other value. */
+static const char *get_text(json_object *obj, const char *key)
+{
+	const char *text = json_text_get(obj, key);
+	json_object *v;
+
+	if (!text || !json_object_object_get_ex(obj, key, &v) ||
+	    strlen(text) != (size_t)json_object_get_string_len(v))
+		return NULL;
+	return text;
+}
+
+static bool is_worker_name(const char *text)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
+				      "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				      "0123456789._-";
+	size_t len = strlen(text);
+
+	return len <= MAX_NAME_BYTES && strspn(text, allowed) == len;
+}
+
+/* Writes HOST:PORT; false unless it can be dialled. */
+static bool read_address(json_object *service, char *address, size_t size)
+{
+	const char *host = get_text(service, "Address");
+	json_object *port;
+	int len;
+
+	if (!host || !json_object_object_get_ex(service, "Port", &port) ||
+	    !json_object_is_type(port, json_type_int))
+		return false;
+	len = snprintf(address, size, "%s:%" PRId64, host,
+		       json_object_get_int64(port));
+	return len > 0 && (size_t)len < size &&
+	       host_port_classify(address, (size_t)len) == HOST_PORT_NUMERIC;
+}
+
+/* Returns NULL, or why the entry names no instance or worker. */
+static const char *read_listed(json_object *item, enum platform_text_list kind,
+			       char *address, size_t size,
+			       struct platform_text_listed *entry)
+{
+	json_object *service;
+
+	if (!json_object_object_get_ex(item, "Service", &service))
+		return "no object with a Service";
+	entry->id = get_text(service, "ID");
+	if (!entry->id || !*entry->id || strlen(entry->id) > MAX_ID_BYTES)
+		return "the ID is no text of 1 to 200 bytes";
+	*address = '\0';
+	if (!read_address(service, address, size) &&
+	    kind == PLATFORM_TEXT_INSTANCES)
+		return "the address and port are not IP:PORT with a port from "
+		       "1 to 65535";
+	if (kind == PLATFORM_TEXT_WORKERS && !is_worker_name(entry->id))
+		return "the ID is not 1 to 63 letters, digits, '.', '_' or '-'";
+	entry->address = address;
+	entry->leaving = is_leaving(service);
+	return NULL;
+}
+
+static void note_odd(struct platform_text_odd *odd, json_object *item,
+		     const char *reason)
+{
+	char sample[JSON_TEXT_SAMPLE_BYTES];
+	json_object *service = NULL;
+	const char *id;
+
+	json_object_object_get_ex(item, "Service", &service);
+	id = json_text_get(service, "ID");
+	json_text_sample(sample, sizeof(sample), id ? id : "",
+			 id ? strlen(id) : 0);
+	snprintf(odd->text, sizeof(odd->text), "%s: %s", sample, reason);
+	odd->count++;
+}
+
+bool platform_text_for_each_listed(
+	const struct http_client_answer *a, enum platform_text_list kind,
 	void (*visit)(void *ctx, const struct platform_text_listed *entry),
-	void *ctx)
+	void *ctx, struct platform_text_odd *odd)
 {
-	json_object *list =
-		a->http_status == 200 ? json_tokener_parse(a->body) : NULL;
-	size_t count = json_object_is_type(list, json_type_array)
-			       ? json_object_array_length(list)
-			       : 0;
+	char address[HOST_PORT_BYTES];
+	char sample[JSON_TEXT_SAMPLE_BYTES];
+	json_object *list;
+	size_t deep;
 
-	for (size_t i = 0; i < count; i++) {
+	memset(odd, 0, sizeof(*odd));
+	if (a->http_status == 404)
+		return true; /* no such service */
+	if (a->http_status != 200)
+		return false;
+	deep = json_text_blank_deep(a->body, a->body_len, ENTRY_DEPTH,
+				    MAX_DEPTH, sample, sizeof(sample));
+	list = json_tokener_parse(a->body);
+	if (!json_object_is_type(list, json_type_array)) {
+		json_object_put(list);
+		return false;
+	}
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		json_object *item = json_object_array_get_idx(list, i);
-		json_object *service, *port = NULL;
-		char address[MAX_ADDRESS_BYTES];
-		struct platform_text_listed entry = { .address = address };
-
-		if (!json_object_object_get_ex(item, "Service", &service))
-			continue;
-		entry.id = json_text_get(service, "ID");
-		json_object_object_get_ex(service, "Port", &port);
-		snprintf(address, sizeof(address), "%s:%d",
-			 json_text_get(service, "Address") ?: "",
-			 json_object_get_int(port));
-		entry.leaving = is_leaving(service);
-		if (entry.id)
+		struct platform_text_listed entry;
+		const char *reason = read_listed(item, kind, address,
+						 sizeof(address), &entry);
+
+		if (reason)
+			note_odd(odd, item, reason);
+		else
 			visit(ctx, &entry);
 	}
 	json_object_put(list);
+	if (deep)
+		snprintf(odd->text, sizeof(odd->text),
+			 "%s: brackets nested more than %d deep", sample,
+			 MAX_DEPTH);
+	return true;
 }
 
 char *platform_text_session(TALLOC_CTX *mem, const struct http_client_answer *a)
--- a/packages/adapters/platform_text.h
+++ b/packages/adapters/platform_text.h
@@ -31,18 +31,31 @@
  */
 uint64_t platform_text_version(const char *document);
 
+enum platform_text_list { PLATFORM_TEXT_INSTANCES, PLATFORM_TEXT_WORKERS };
+
 /* An entry of a health list; valid during the call of visit. */
 struct platform_text_listed {
-	const char *id;
-	const char *address; /* host:port */
+	const char *id; /* of a worker: its name in the document */
+	const char *address; /* host:port; can be dialled for an instance */
 	bool leaving;
 };
 
-/* Calls visit for each entry of a health list that has an ID. */
-void platform_text_for_each_listed(
-	const struct http_client_answer *answer,
+#define PLATFORM_TEXT_ODD_BYTES 256
+
+/* Entries that were left out of a list. */
+struct platform_text_odd {
+	size_t count;
+	char text[PLATFORM_TEXT_ODD_BYTES]; /* the last one, and the reason */
+};
+
+/*
+ * Calls visit for each entry of a health list that names an instance or worker;
+ * the others are left out. Returns false if the answer has no list.
+ */
+bool platform_text_for_each_listed(
+	const struct http_client_answer *answer, enum platform_text_list kind,
 	void (*visit)(void *ctx, const struct platform_text_listed *entry),
-	void *ctx);
+	void *ctx, struct platform_text_odd *odd);
 
 /* Returns the ID from the answer to a session's creation, or NULL. */
 char *platform_text_session(TALLOC_CTX *mem,
--- a/packages/adapters/platform_watch.c
+++ b/packages/adapters/platform_watch.c
@@ -3,7 +3,11 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/clock.h"
+#include "base/log.h"
+
 #define WATCH_WAIT_S 3
+#define ODD_PERIOD_MS 10000 /* between two log lines of a list's entries */
 #define WATCH_TIMEOUT_MS (WATCH_WAIT_S * 1000 + PLATFORM_CALL_TIMEOUT_MS)
 
 /* The document */
@@ -102,6 +106,46 @@
 	mailbox_post_always(w->platform->options.control, &msg->head);
 }
 
+/* Logs entries that are left out, when they change. */
+static void note_odd_entries(struct watch *w,
+			     const struct platform_text_odd *odd)
+{
+	uint64_t now_ms = clock_now_ms();
+
+	if (!odd->count) {
+		TALLOC_FREE(w->odd);
+		return;
+	}
+	if (w->odd && !strcmp(w->odd, odd->text))
+		return;
+	if (w->odd_logged_ms && now_ms - w->odd_logged_ms < ODD_PERIOD_MS)
+		return;
+	log_warning(LOG_PLATFORM,
+		    "%zu entries of the list of %s are left out, the last one "
+		    "%s; the others hold",
+		    odd->count,
+		    w->kind == WATCH_WORKERS ? "workers" : "instances",
+		    odd->text);
+	talloc_free(w->odd);
+	w->odd = talloc_strdup(w->platform, odd->text);
+	w->odd_logged_ms = now_ms;
+}
+
+/* Returns false if the list cannot be read. */
+static bool read_list(struct watch *w, struct http_client_answer *a)
+{
+	struct platform_text_odd odd;
+	bool valid = platform_text_for_each_listed(
+		a,
+		w->kind == WATCH_WORKERS ? PLATFORM_TEXT_WORKERS
+					 : PLATFORM_TEXT_INSTANCES,
+		post_listed, w, &odd);
+
+	if (valid)
+		note_odd_entries(w, &odd);
+	return valid;
+}
+
 static void handle_watch_answer(struct watch *w, struct http_client_answer *a)
 {
 	struct platform *p = w->platform;
@@ -112,7 +156,7 @@
 	w->index = index < w->index ? 0 : index;
 	if (w->kind != WATCH_CONFIG) {
 		if (changed)
-			platform_text_for_each_listed(a, post_listed, w);
+			read_list(w, a);
 		return;
 	}
 	/* A stale read left an older index, so the document is read again. */
