adapters/platform: a value's index is a whole number above 0

A value that could not be read left its text in memory. Change: such an answer is malformed; its text is freed.

--- a/packages/adapters/platform_text.c
+++ b/packages/adapters/platform_text.c
@@ -24,7 +24,10 @@
 	json_object *index;
 	size_t len;
 
-	if (!json_object_object_get_ex(entry, "ModifyIndex", &index))
+	if (!json_object_object_get_ex(entry, "ModifyIndex", &index) ||
+	    !json_object_is_type(index, json_type_int) ||
+	    json_object_get_int64(index) <= 0 ||
+	    json_object_get_uint64(index) == UINT64_MAX)
 		return false;
 	value->index = json_object_get_uint64(index);
 	value->text = base64_decode(mem, text ? text : "", &len);
@@ -49,6 +52,8 @@
 		json_object_array_length(list) == 1 &&
 		read_entry(mem, json_object_array_get_idx(list, 0), value);
 	json_object_put(list);
+	if (!valid)
+		TALLOC_FREE(value->text);
 	return valid;
 }
 
--- a/packages/adapters/tests/test_platform_text.c
+++ b/packages/adapters/tests/test_platform_text.c
@@ -234,11 +234,35 @@
 }
 END_TEST
 
+START_TEST(test_value_with_an_impossible_index)
+{
+	static const char *const indices[] = { "-1", "0.5", "\"7\"", "null",
+					       "99999999999999999999" };
+
+	for (size_t i = 0; i < sizeof(indices) / sizeof(indices[0]); i++) {
+		char *body = talloc_asprintf(
+			mem, "[{\"ModifyIndex\":%s,\"Value\":\"aGk=\"}]",
+			indices[i]);
+		struct http_client_answer answer = {
+			.status = HTTP_CLIENT_ANSWERED,
+			.http_status = 200,
+			.body = body,
+			.body_len = strlen(body),
+		};
+		struct platform_text_value value;
+
+		ck_assert_msg(!platform_text_read_value(mem, &answer, &value),
+			      "%s", indices[i]);
+	}
+}
+END_TEST
+
 int main(void)
 {
-	return RUN_CASE(
-		"platform_text", set_up, tear_down, test_deeply_nested_entry,
-		test_port_out_of_range, test_address_that_cannot_be_dialled,
-		test_entry_that_is_none, test_odd_id,
-		test_bytes_that_are_no_text, test_same_id_twice, test_worker);
+	return RUN_CASE("platform_text", set_up, tear_down,
+			test_deeply_nested_entry, test_port_out_of_range,
+			test_address_that_cannot_be_dialled,
+			test_entry_that_is_none, test_odd_id,
+			test_bytes_that_are_no_text, test_same_id_twice,
+			test_worker, test_value_with_an_impossible_index);
 }
