adapters/platform: a list that can't be read is asked for again

Seen by callers: a worker's leave or an instance that came was not noticed until the next change of the list. Cause: an answer without a list (status 403, a body that is cut off) counted as read, and its index was noted; without an index the query was repeated at once, as fast as the budget allows.

--- a/packages/adapters/platform_state.h
+++ b/packages/adapters/platform_state.h
@@ -40,6 +40,7 @@
 	uint64_t index; /* of the last answer; 0: none */
 	uint64_t backoff_ms;
 	struct tevent_timer *timer;
+	bool unreadable; /* the last answer had no list */
 	char *odd; /* last reported entry that was left out; NULL: none */
 	uint64_t odd_logged_ms;
 };
--- a/packages/adapters/platform_watch.c
+++ b/packages/adapters/platform_watch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/log.h"
 
 #define WATCH_WAIT_S 3
@@ -106,6 +107,11 @@
 	mailbox_post_always(w->platform->options.control, &msg->head);
 }
 
+static const char *list_name(const struct watch *w)
+{
+	return w->kind == WATCH_WORKERS ? "workers" : "instances";
+}
+
 /* Logs entries that are left out, when they change. */
 static void note_odd_entries(struct watch *w,
 			     const struct platform_text_odd *odd)
@@ -123,14 +129,24 @@
 	log_warning(LOG_PLATFORM,
 		    "%zu entries of the list of %s are left out, the last one "
 		    "%s; the others hold",
-		    odd->count,
-		    w->kind == WATCH_WORKERS ? "workers" : "instances",
-		    odd->text);
+		    odd->count, list_name(w), odd->text);
 	talloc_free(w->odd);
 	w->odd = talloc_strdup(w->platform, odd->text);
 	w->odd_logged_ms = now_ms;
 }
 
+/* An unreadable list is asked for again; what was read before holds. */
+static void note_unreadable(struct watch *w, const struct http_client_answer *a)
+{
+	if (!w->unreadable)
+		log_warning(LOG_PLATFORM,
+			    "the list of %s cannot be read (status %ld, %zu "
+			    "bytes); retrying",
+			    list_name(w), a->http_status, a->body_len);
+	w->unreadable = true;
+	counter_add(COUNTER_PLATFORM_FAILURES, 1);
+}
+
 /* Returns false if the list cannot be read. */
 static bool read_list(struct watch *w, struct http_client_answer *a)
 {
@@ -141,29 +157,36 @@
 					 : PLATFORM_TEXT_INSTANCES,
 		post_listed, w, &odd);
 
-	if (valid)
-		note_odd_entries(w, &odd);
-	return valid;
+	if (!valid) {
+		note_unreadable(w, a);
+		return false;
+	}
+	w->unreadable = false;
+	note_odd_entries(w, &odd);
+	return true;
 }
 
-static void handle_watch_answer(struct watch *w, struct http_client_answer *a)
+/* Returns false if the answer cannot be read. */
+static bool handle_watch_answer(struct watch *w, struct http_client_answer *a)
 {
 	struct platform *p = w->platform;
 	uint64_t index = platform_text_index(a);
-	bool changed = index != w->index;
+	bool changed = index != w->index || a->http_status != 200;
 
 	/* After a restore of the store the index is lower: start again at 0. */
 	w->index = index < w->index ? 0 : index;
 	if (w->kind != WATCH_CONFIG) {
-		if (changed)
-			read_list(w, a);
-		return;
+		if (!changed || read_list(w, a))
+			return true;
+		w->index = 0;
+		return false;
 	}
 	/* A stale read left an older index, so the document is read again. */
 	if (index != p->document_index || !p->document)
 		platform_read_document(p);
 	else
 		post_config_read(p, PORT_PLATFORM_OK, NULL);
+	return true;
 }
 
 static void on_watch(void *ctx, struct http_client_answer *a)
@@ -180,8 +203,12 @@
 			schedule_query(w);
 		return;
 	}
+	if (!handle_watch_answer(w, a)) {
+		if (w->platform->watches_enabled)
+			schedule_query(w);
+		return;
+	}
 	w->backoff_ms = 0;
-	handle_watch_answer(w, a);
 	if (w->platform->watches_enabled)
 		send_query(w);
 }
--- a/packages/adapters/tests/test_platform_text.c
+++ b/packages/adapters/tests/test_platform_text.c
@@ -234,6 +234,22 @@
 }
 END_TEST
 
+/* A list that cannot be read must not look like one without entries. */
+START_TEST(test_unreadable_list)
+{
+	static const char *const bodies[] = {
+		"",	"{}", "7", "null", "[", "[{\"Service\":{\"ID\":\"a\"",
+		"\xff",
+	};
+
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++)
+		ck_assert_msg(!read_bytes(bodies[i], strlen(bodies[i])), "%s",
+			      bodies[i]);
+	ck_assert(read_bytes("[]", 2));
+	ck_assert_uint_eq(count, 0);
+}
+END_TEST
+
 START_TEST(test_value_with_an_impossible_index)
 {
 	static const char *const indices[] = { "-1", "0.5", "\"7\"", "null",
@@ -259,10 +275,10 @@
 
 int main(void)
 {
-	return RUN_CASE("platform_text", set_up, tear_down,
-			test_deeply_nested_entry, test_port_out_of_range,
-			test_address_that_cannot_be_dialled,
-			test_entry_that_is_none, test_odd_id,
-			test_bytes_that_are_no_text, test_same_id_twice,
-			test_worker, test_value_with_an_impossible_index);
+	return RUN_CASE(
+		"platform_text", set_up, tear_down, test_deeply_nested_entry,
+		test_port_out_of_range, test_address_that_cannot_be_dialled,
+		test_entry_that_is_none, test_odd_id,
+		test_bytes_that_are_no_text, test_same_id_twice, test_worker,
+		test_unreadable_list, test_value_with_an_impossible_index);
 }
--- a/tests/standins/standin_platform.c
+++ b/tests/standins/standin_platform.c
@@ -7,6 +7,7 @@
  *                            consistent reads are never stale
  *     PUT /standin/restore  restarts with this document, at a low index
  *     PUT /standin/list?service=NAME   [{"id","address","port","leaving"}]
+ *     PUT /standin/raw?service=NAME    the body is the list, whatever it is
  *     PUT /standin/expire   ends all sessions and deletes their keys
  *     GET /standin/state    {"reads","writes","sessions","session_ttl_s"}
  */
@@ -384,6 +385,16 @@
 	json_object_put(list);
 }
 
+static void set_raw_list(const struct http_server_request *r)
+{
+	const char *service = http_server_query(r, "service");
+	char key[256];
+
+	snprintf(key, sizeof(key), "/v1/health/service/%s",
+		 service ? service : "");
+	set_item(key, r->body);
+}
+
 static void handle_control(const struct http_server_request *r,
 			   const char *what)
 {
@@ -398,6 +409,8 @@
 		TALLOC_FREE(i->previous);
 	} else if (!strcmp(what, "list")) {
 		set_list(r);
+	} else if (!strcmp(what, "raw")) {
+		set_raw_list(r);
 	} else if (!strcmp(what, "expire")) {
 		expire_sessions();
 	}
--- a/tests/system/leased_standins.py
+++ b/tests/system/leased_standins.py
@@ -86,11 +86,13 @@
         super().__init__(port)
 
     def put(self, key, value, lease=0):
+        if isinstance(value, str):
+            value = value.encode()
         with self.lock:
             self.revision += 1
             item = {"key": key, "rev": self.revision, "lease": lease,
                     "create_rev": self.revision, "value":
-                    base64.b64encode(value.encode()).decode()}
+                    base64.b64encode(value).decode()}
             self.items[key] = item
             self.events.append(item)
             self.lock.notify_all()
