adapters/targets: a usage without a count of tasks is ignored

Evidence: test_odd_usage_is_ignored fails on the code before (10 usages of 1). Change: the count must be a whole number of 32 bits, leaving a boolean; else the answer is logged and the last one holds.

--- a/packages/adapters/targets.c
+++ b/packages/adapters/targets.c
@@ -10,6 +10,7 @@
 #include "adapters/http_client.h"
 #include "adapters/messages.h"
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/counter.h"
 
 /* An older start is not sent; the control thread then places the task again. */
@@ -222,29 +223,49 @@
 			 NULL);
 }
 
-static void post_usage(struct targets *t, const char *worker, json_object *obj)
+static void post_usage(struct targets *t, const char *worker,
+		       const struct port_usage *usage)
 {
 	struct message_worker_usage *msg = message_create(
 		struct message_worker_usage, MESSAGE_WORKER_USAGE);
-	json_object *v;
 
+	msg->usage = *usage;
 	msg->usage.worker = talloc_strdup(msg, worker);
-	if (json_object_object_get_ex(obj, "running", &v))
-		msg->usage.running = (uint32_t)json_object_get_int(v);
-	if (json_object_object_get_ex(obj, "leaving", &v))
-		msg->usage.leaving = json_object_get_boolean(v);
 	mailbox_post_always(t->options.control, &msg->head);
 }
 
+/* Returns false unless the answer has a count of tasks. */
+static bool read_usage(json_object *obj, struct port_usage *usage)
+{
+	json_object *v;
+
+	if (!json_object_object_get_ex(obj, "running", &v) ||
+	    !json_object_is_type(v, json_type_int) ||
+	    json_object_get_int64(v) < 0 ||
+	    json_object_get_uint64(v) > UINT32_MAX)
+		return false;
+	usage->running = (uint32_t)json_object_get_int64(v);
+	if (!json_object_object_get_ex(obj, "leaving", &v))
+		return true;
+	usage->leaving = json_object_get_boolean(v);
+	return json_object_is_type(v, json_type_boolean);
+}
+
 static void on_usage(void *ctx, struct http_client_answer *a)
 {
 	struct call *call = ctx;
+	struct port_usage usage = { 0 };
 	json_object *obj = NULL;
 
-	if (a->status == HTTP_CLIENT_ANSWERED && a->http_status == 200)
+	if (a->status == HTTP_CLIENT_ANSWERED && a->http_status == 200) {
 		obj = json_tokener_parse(a->body);
-	if (json_object_is_type(obj, json_type_object))
-		post_usage(call->targets, call->worker, obj);
+		if (!read_usage(obj, &usage))
+			log_info(LOG_TARGET,
+				 "worker %s: its usage cannot be read; ignored",
+				 call->worker);
+		else
+			post_usage(call->targets, call->worker, &usage);
+	}
 	json_object_put(obj);
 	talloc_free(call);
 }
--- a/packages/adapters/tests/test_targets.c
+++ b/packages/adapters/tests/test_targets.c
@@ -4,10 +4,12 @@
  * not started without being sent, because control may have decided anew.
  */
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "base/tests/run_suite.h"
 #include "adapters/address.h"
+#include "adapters/http_server.h"
 #include "adapters/messages.h"
 #include "adapters/targets.h"
 #include "base/clock.h"
@@ -20,10 +22,21 @@
 static int results;
 static enum port_result_kind last_kind;
 static uint64_t last_token;
+static int usages;
+static uint32_t running; /* of the last usage */
+static struct http_server *server;
+static const char *body; /* of the server's answers */
+static int requests;
 
 static void on_result(void *ctx, struct mailbox_message *msg)
 {
 	(void)ctx;
+	if (msg->kind == MESSAGE_WORKER_USAGE) {
+		usages++;
+		running = ((struct message_worker_usage *)msg)->usage.running;
+		talloc_free(msg);
+		return;
+	}
 	results++;
 	last_kind = ((struct message_task_result *)msg)->result.kind;
 	last_token = ((struct message_task_result *)msg)->result.token;
@@ -121,6 +134,75 @@
 }
 END_TEST
 
+static void serve(void *ctx, const struct http_server_request *request)
+{
+	struct http_server_response response = {
+		.status = 200,
+		.body = body,
+		.body_len = strlen(body),
+	};
+
+	(void)ctx;
+	requests++;
+	http_server_reply(server, request->number, &response);
+}
+
+/* Asks a worker for its usage; answers arrive in order on one connection. */
+static void query(const char *answer)
+{
+	struct message_query_usage *msg =
+		message_create(struct message_query_usage, MESSAGE_QUERY_USAGE);
+
+	body = answer;
+	msg->worker = talloc_strdup(msg, "w1");
+	msg->address =
+		talloc_asprintf(msg, "127.0.0.1:%d", http_server_port(server));
+	targets_handle(targets, &msg->head);
+	requests = 0;
+	while (!requests)
+		tevent_loop_once(ev);
+}
+
+/* A wrong number of running tasks would count tasks that run as ended. */
+START_TEST(test_odd_usage_is_ignored)
+{
+	static const char *const answers[] = {
+		"{}",
+		"{\"running\":-1}",
+		"{\"running\":0.5}",
+		"{\"running\":\"3\"}",
+		"{\"running\":null}",
+		"{\"running\":4294967296}",
+		"{\"running\":99999999999999999999}",
+		"{\"running\":3,\"leaving\":\"no\"}",
+		"{\"running\":3,\"leaving\":1}",
+		"[]",
+		"7",
+		"",
+	};
+	struct http_server_options options = {
+		.ev = ev,
+		.listen = "127.0.0.1:0",
+		.body_bytes = 65536,
+		.header_bytes = 16384,
+		.connections = 16,
+		.idle_ms = 60000,
+		.handler = serve,
+	};
+
+	server = http_server_create(ev, &options);
+	usages = 0;
+	running = 0;
+	for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++)
+		query(answers[i]);
+	query("{\"running\":5}");
+	while (running != 5)
+		tevent_loop_once(ev);
+	ck_assert_int_eq(usages, 1);
+	talloc_free(server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("targets");
@@ -131,6 +213,7 @@
 	tcase_add_test(tcase, test_stale_start_is_returned);
 	tcase_add_test(tcase, test_expired_start_is_returned);
 	tcase_add_test(tcase, test_queued_start_becomes_stale);
+	tcase_add_test(tcase, test_odd_usage_is_ignored);
 	suite_add_tcase(suite, tcase);
 	return run_suite(suite);
 }
