tests/fuzz: lists of the own platform, addresses, odd entries

Change: fuzz_platform reads the lists and values of the product's own platform, blanks deep elements and classifies addresses; a registration's address, capacity and start time are checked; bodies keep their bytes behind a NUL.

--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -1,14 +1,20 @@
 /*
  * Parses texts from the platform, its workers and callers: the result is a
- * valid value or a message. The first byte of the input selects the parser.
+ * valid value or a message. The first byte of the input selects the parser:
+ * above 127 those of the product's own platform, and of addresses.
  */
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/platform_text.h"
+#include "base/host_port.h"
+#include "base/json_text.h"
 #include "platform/wire_text.h"
 
 #define MAX_TASKS 1000
+#define MAX_CAPACITY 1000000000
+#define MAX_BORN_MS INT64_C(253402300799999)
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -18,6 +24,15 @@
 		abort();
 }
 
+/* With a NUL behind it, as the body of an answer. */
+static char *copy_bytes(TALLOC_CTX *mem, const char *text, size_t len)
+{
+	char *copy = talloc_zero_size(mem, len + 1);
+
+	memcpy(copy, text, len);
+	return copy;
+}
+
 static void read_config(TALLOC_CTX *mem, const char *text, size_t len)
 {
 	const char *message = NULL;
@@ -50,7 +65,12 @@
 	}
 	must(registration.address && registration.service &&
 	     registration.data_centre);
-	must(registration.born_ms <= INT64_MAX);
+	must(host_port_classify(registration.address,
+				strlen(registration.address)));
+	must(registration.capacity.cpu_milli <= MAX_CAPACITY &&
+	     registration.capacity.mem_mb <= MAX_CAPACITY &&
+	     registration.capacity.accelerators <= MAX_CAPACITY);
+	must(registration.born_ms <= MAX_BORN_MS);
 	for (const char *const *l = registration.labels; *l; l++)
 		must(strlen(*l) <= len);
 }
@@ -88,7 +108,7 @@
 	struct http_client_answer answer = {
 		.status = HTTP_CLIENT_ANSWERED,
 		.http_status = status,
-		.body = talloc_strndup(mem, text, len),
+		.body = copy_bytes(mem, text, len),
 		.body_len = len,
 	};
 	struct pool_reply reply;
@@ -96,7 +116,7 @@
 
 	wire_text_reply(mem, &answer, &reply, &lists);
 	must(reply.answer <= POOL_NO_ANSWER);
-	must(reply.clock_ms <= INT64_MAX && reply.born_ms <= INT64_MAX);
+	must(reply.clock_ms <= INT64_MAX && reply.born_ms <= MAX_BORN_MS);
 	must(reply.answer == POOL_OK ||
 	     (!lists.running_count && !lists.ended_count));
 	for (size_t i = 0; i < lists.running_count; i++)
@@ -108,6 +128,79 @@
 	}
 }
 
+static void check_instance(void *ctx, const struct platform_text_listed *entry)
+{
+	(void)ctx;
+	must(entry->id && *entry->id);
+	must(host_port_classify(entry->address, strlen(entry->address)) ==
+	     HOST_PORT_NUMERIC);
+}
+
+static void check_worker(void *ctx, const struct platform_text_listed *entry)
+{
+	(void)ctx;
+	must(strlen(entry->id) && strlen(entry->id) < 64);
+	must(!strpbrk(entry->id, " \r\n\t/:"));
+}
+
+/* The parser writes to the text: each gets a copy of its own size. */
+static void read_lists(TALLOC_CTX *mem, const char *text, size_t len)
+{
+	struct http_client_answer answer = {
+		.status = HTTP_CLIENT_ANSWERED,
+		.http_status = 200,
+		.body_len = len,
+	};
+	struct platform_text_odd odd;
+	struct platform_text_value value;
+
+	answer.body = copy_bytes(mem, text, len);
+	platform_text_for_each_listed(&answer, PLATFORM_TEXT_INSTANCES,
+				      check_instance, NULL, &odd);
+	must(strlen(odd.text) < sizeof(odd.text));
+	answer.body = copy_bytes(mem, text, len);
+	platform_text_for_each_listed(&answer, PLATFORM_TEXT_WORKERS,
+				      check_worker, NULL, &odd);
+	answer.body = copy_bytes(mem, text, len);
+	must(!platform_text_read_value(mem, &answer, &value) || value.index);
+}
+
+/* A text without deep elements stays as it is. */
+static void blank_deep(TALLOC_CTX *mem, const char *text, size_t len)
+{
+	char *copy = talloc_memdup(mem, text, len);
+	char sample[32] = "";
+
+	if (!json_text_blank_deep(copy, len, 1, 4, sample, sizeof(sample)))
+		must(!*sample && !memcmp(copy, text, len));
+	else
+		must(*sample == '"' && strlen(sample) < sizeof(sample));
+}
+
+static void read_address(const char *text, size_t len)
+{
+	if (host_port_classify(text, len))
+		must(len < HOST_PORT_BYTES && !memchr(text, 0, len) &&
+		     !memchr(text, '/', len) && !memchr(text, '@', len) &&
+		     !memchr(text, '\n', len) && memchr(text, ':', len));
+}
+
+static void read_own_platform(TALLOC_CTX *mem, uint8_t kind, const char *text,
+			      size_t len)
+{
+	switch (kind % 3) {
+	case 0:
+		read_lists(mem, text, len);
+		break;
+	case 1:
+		blank_deep(mem, text, len);
+		break;
+	case 2:
+		read_address(text, len);
+		break;
+	}
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static const long statuses[] = { 200, 409, 400, 421, 503, 500 };
@@ -118,6 +211,11 @@
 		talloc_free(mem);
 		return 0;
 	}
+	if (data[0] > INT8_MAX) {
+		read_own_platform(mem, data[0], text, size - 1);
+		talloc_free(mem);
+		return 0;
+	}
 	switch (data[0] % 4) {
 	case 0:
 		read_config(mem, text, size - 1);
