--- a/packages/base/json_text.c
+++ b/packages/base/json_text.c
@@ -86,6 +86,9 @@
 				break;
 			if (--depth != row_depth || deepest <= max_depth)
 				continue;
+#ifdef BREAK_DEEP
+			continue;
+#endif
 			json_text_sample(sample, size, text + begin,
 					 i + 1 - begin);
 			memset(text + begin, ' ', i + 1 - begin);
