--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -121,6 +121,7 @@
 	bool has_list; /* of the workers */
 	bool has_missed; /* reports while it was frozen */
 	char name[16];
+	char address[24]; /* of its peer links */
 };
 
 enum event_kind {
@@ -831,7 +832,7 @@
 	bergamot__hello__init(hello);
 	hello->incarnation = node->incarnation;
 	hello->instance = (char *)node->name;
-	hello->address = (char *)node->name;
+	hello->address = (char *)node->address;
 }
 
 static void link_nodes(struct site *site, struct node *a, struct node *b)
@@ -902,7 +903,8 @@
 static void list_instances(struct site *site, struct node *node)
 {
 	for (uint32_t i = 0; i < site->options->instances; i++)
-		lease_node_member_listed(node->lease_node, site->nodes[i].name);
+		lease_node_member_listed(node->lease_node,
+					 site->nodes[i].address);
 	lease_node_member_list_complete(node->lease_node);
 }
 
@@ -930,7 +932,7 @@
 	struct lease_node_options options = {
 		.ports = &node->ports,
 		.instance = node->name,
-		.address = node->name,
+		.address = node->address,
 		.weight = weight_of(site, node),
 		.direct_workers = site->options->direct_workers,
 		.first_start = site->options->first_start && !site->started,
@@ -1456,6 +1458,8 @@
 			snprintf(node->name, sizeof(node->name), "n%u", i);
 		else
 			node->name[0] = (char)('a' + i);
+		snprintf(node->address, sizeof(node->address), "10.0.%u.%u:1",
+			 i / 250, i % 250);
 		start_node(site, node);
 	}
 	site->started = true;
