adapters/tests, base/tests: two findings of clang-tidy

Cause: a literal in two parts within an array, a memcpy that ends a text without NUL. Change: the same inputs, written otherwise.

--- a/packages/adapters/tests/test_platform_text.c
+++ b/packages/adapters/tests/test_platform_text.c
@@ -9,6 +9,10 @@
 
 #define MAX_ENTRIES 16
 #define LONG_BYTES 10240
+#define TEN_CHARS "0123456789"
+/* One character more than a name may have. */
+#define LONG_NAME                                                              \
+	TEN_CHARS TEN_CHARS TEN_CHARS TEN_CHARS TEN_CHARS TEN_CHARS "0123"
 
 static TALLOC_CTX *mem;
 static size_t count;
@@ -214,14 +218,7 @@
 START_TEST(test_worker)
 {
 	static const char *const names[] = {
-		"",
-		"a b",
-		"a/b",
-		"a\\r\\nb",
-		"\xff",
-		"\xc3\xa9",
-		"0123456789012345678901234567890123456789012345678901234567"
-		"890123",
+		"", "a b", "a/b", "a\\r\\nb", "\xff", "\xc3\xa9", LONG_NAME,
 	};
 	static const char row[] = "{\"Service\":{\"ID\":\"%s\"}}";
 
--- a/packages/base/tests/test_host_port.c
+++ b/packages/base/tests/test_host_port.c
@@ -103,7 +103,9 @@
 	ck_assert(!host_port_classify(with_nul, sizeof(with_nul) - 1));
 	ck_assert(!host_port_classify("10.0.0.1:8\0", 11));
 	memset(text, 'a', sizeof(text));
-	memcpy(text + sizeof(text) - 3, ":80", 3);
+	text[sizeof(text) - 3] = ':';
+	text[sizeof(text) - 2] = '8';
+	text[sizeof(text) - 1] = '0';
 	ck_assert(!host_port_classify(text, sizeof(text)));
 	ck_assert_int_eq(host_port_classify(text + sizeof(text) - 127, 127),
 			 HOST_PORT_NAME);
