core: a task that crashes three workers is given up; suspects run alone

Cause: only ends as failed counted as attempts; a run that ended with its worker was closed as lapsed, as behind a cut, and its task started again anywhere.

Change: the pool reports a worker that went under its runs: it restarted, or its lease lapsed in silence, and it was not draining. That it restarted is a crash unless others of its rack were lost, too, and none has answered since; they are asked. A lapse, and a restart with the rack's fate unknown, count as unconfirmed until the worker answers as the same process (withdrawn), as a newer one, or loses its registration. core/crash_record keeps which workers went under a task. A task with a crash is a suspect: it starts on a reserved worker that runs nothing else, not on the one that went last, and suspects have one worker in eight at most. Two crashes alone, or three in all, and the job ends as failed (worker_crashes) at once. A task whose last crashes are unconfirmed waits.

Why it works: each further crash happens alone, so that it names the task; a neighbour completes when it is tried alone, and is cleared. A task starts only while fewer than three crashes, confirmed or not, are known.

--- a/packages/base/counter.h
+++ b/packages/base/counter.h
@@ -40,6 +40,12 @@
 	X(WORKER_HOLDS, "worker_holds", "holds sent to leased workers")        \
 	X(WORKER_HOLD_FAILURES, "worker_hold_failures",                        \
 	  "holds that were not answered")                                      \
+	X(WORKERS_CRASHED, "workers_crashed",                                  \
+	  "leased workers that were lost alone, with open runs")               \
+	X(TASKS_TRIED_ALONE, "tasks_tried_alone",                              \
+	  "starts of suspects on workers that run nothing else")               \
+	X(JOBS_CRASHED, "jobs_crashed",                                        \
+	  "jobs given up because a task crashes workers")                      \
 	X(STORE_READS, "store_reads", "read calls to the store")               \
 	X(STORE_WRITES, "store_writes", "write calls to the store")            \
 	X(STORE_PUT_OFF, "store_put_off",                                      \
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -41,10 +41,11 @@
 };
 
 static const char *const reason_texts[LEASE_REASON_COUNT] = {
-	[LEASE_NO_REASON] = "none",	   [LEASE_OVERLOADED] = "overloaded",
-	[LEASE_DEADLINE] = "deadline",	   [LEASE_NEVER_FITS] = "never_fits",
-	[LEASE_NO_WORKERS] = "no_workers", [LEASE_ATTEMPTS] = "attempts",
-	[LEASE_NO_LEADER] = "no_leader",   [LEASE_STOPPING] = "stopping",
+	[LEASE_NO_REASON] = "none",	    [LEASE_OVERLOADED] = "overloaded",
+	[LEASE_DEADLINE] = "deadline",	    [LEASE_NEVER_FITS] = "never_fits",
+	[LEASE_NO_WORKERS] = "no_workers",  [LEASE_ATTEMPTS] = "attempts",
+	[LEASE_NO_LEADER] = "no_leader",    [LEASE_STOPPING] = "stopping",
+	[LEASE_CRASHES] = "worker_crashes",
 };
 
 const char *lease_end_text(enum lease_end end)
@@ -225,12 +226,23 @@
 	task->job->dispatch->running_tasks--;
 }
 
+static void forget_crashes(struct lease_dispatch *dispatch,
+			   const struct task *task)
+{
+	char name[STEP_JOB_TASK_BYTES];
+
+	lease_name_task(name, task);
+	crash_forget(dispatch->crashes, name);
+}
+
 /* Ends the job if this was its last task. */
 static void note_done(struct task *task, uint64_t now_ms)
 {
 	struct lease_job *job = task->job;
 
 	task->state = TASK_DONE;
+	if (task->verdict != CRASH_NONE)
+		forget_crashes(job->dispatch, task);
 	job->states[task->step].done++;
 	if (++job->done == job->tasks)
 		lease_finish(job->dispatch, job, LEASE_COMPLETED,
@@ -245,6 +257,8 @@
 	struct lease_job *job = task->job;
 
 	end_running(task);
+	if (task->verdict != CRASH_NONE || job->handed)
+		lease_tell_end(dispatch, run, how, now_ms);
 	if (how == POOL_DONE) {
 		counter_add(COUNTER_TASKS_DONE, 1);
 		note_done(task, now_ms);
@@ -256,7 +270,8 @@
 	dispatch->waiting_tasks++;
 	if (how == POOL_OLD)
 		task->next_number += OLD_RUN_NUMBER_SKIP;
-	if (how == POOL_FAILED || how == POOL_LAPSED || how == POOL_STOPPED) {
+	if (how == POOL_FAILED || how == POOL_LAPSED || how == POOL_STOPPED ||
+	    how == POOL_CRASHED) {
 		talloc_free(task->avoid);
 		task->avoid = talloc_strdup(job, run->worker->id);
 	}
@@ -356,6 +371,12 @@
 	return job;
 }
 
+void lease_name_task(char name[STEP_JOB_TASK_BYTES], const struct task *task)
+{
+	snprintf(name, STEP_JOB_TASK_BYTES, "%s.0.%u.%u", task->job->id,
+		 task->step, task->index);
+}
+
 /* Returns the task named ID.0.STEP.INDEX; NULL if the job has none. */
 static struct task *find_task(struct lease_job *job, const char *name)
 {
@@ -368,6 +389,16 @@
 	return &job->states[step].tasks[index];
 }
 
+struct task *lease_find_task(struct lease_dispatch *dispatch, const char *name)
+{
+	char id[STEP_JOB_ID_BYTES];
+	struct lease_job *job;
+
+	snprintf(id, sizeof(id), "%.*s", (int)strcspn(name, "."), name);
+	job = find_job(dispatch, id);
+	return job ? find_task(job, name) : NULL;
+}
+
 /*
  * Attaches a run that an earlier leader started to its task. Returns false if
  * the job is not known; leaves run->task unset if the task needs no run.
@@ -387,6 +418,8 @@
 	run->task = task;
 	run->demand = job->steps[task->step].demand;
 	run->estimate_ms = job->steps[task->step].estimate_ms;
+	lease_tell_start(job->dispatch, run->name, run->worker, false,
+			 run->answered_ms);
 	return true;
 }
 
@@ -524,6 +557,9 @@
 		 job->id, from->waiter.entry, job->queue, job->priority,
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
+	job = find_job(dispatch, id);
+	if (job && !lease_judge_job(dispatch, job, now_ms))
+		return;
 	dispatch->is_full = false;
 	/* Behind a backlog it waits for the next round. */
 	if (!was_full)
@@ -742,13 +778,15 @@
 		.estimate_ms = job->steps[task->step].estimate_ms,
 	};
 
-	snprintf(run.name, sizeof(run.name), "%s.0.%u.%u", job->id, task->step,
-		 task->index);
+	lease_name_task(run.name, task);
 	if (!job->begun)
 		histogram_observe_ms(HISTOGRAM_JOB_WAIT,
 				     now_ms - job->received_ms);
 	memcpy(run.job, job->id, sizeof(run.job));
 	begin_running(task);
+	if (task->verdict != CRASH_NONE || job->handed)
+		lease_tell_start(dispatch, run.name, worker,
+				 task->verdict != CRASH_NONE, now_ms);
 	task->run = pool_start(dispatch->pool, worker, &run, job->text, now_ms);
 }
 
@@ -815,9 +853,22 @@
 		struct task *task = &state->tasks[i];
 		struct pool_worker *worker;
 
-		if (task->state != TASK_WAITING)
+		if (task->state != TASK_WAITING ||
+		    task->verdict > CRASH_SUSPECT)
 			continue;
 		request.avoid = task->avoid;
+#ifndef BREAK_TRIAL
+		if (task->verdict == CRASH_SUSPECT) {
+			worker = lease_pick_alone(dispatch, &request);
+			if (!worker) {
+				dispatch->unplaced_suspects++;
+				continue;
+			}
+			start_task(dispatch, task, worker, now_ms);
+			started++;
+			continue;
+		}
+#endif
 		worker = place_pick(dispatch->options.place, dispatch->pool,
 				    &request);
 		placed = worker != NULL;
@@ -851,6 +902,8 @@
 	size_t count = heap_jobs(dispatch, now_ms);
 	uint32_t unplaced = 0;
 
+	dispatch->unplaced_suspects = 0;
+	dispatch->is_alone_full = false;
 	while (count && unplaced < MAX_UNPLACED_STEPS) {
 		struct lease_job *job = pop_job(dispatch, &count);
 
@@ -983,9 +1036,11 @@
 		lease_shed(dispatch, now_ms);
 	}
 	pool_tick(dispatch->pool, now_ms);
+	dispatch->unplaced_suspects = 0;
 	/* Jobs became late, or a worker's breaker closed. */
 	if (may_start(dispatch, now_ms))
 		run_round(dispatch, now_ms);
+	lease_tick_crashes(dispatch, now_ms);
 }
 
 /* Leadership */
@@ -1005,7 +1060,9 @@
 {
 	struct lease_job *job, *next;
 
+	lease_tell_open_runs(dispatch);
 	pool_release(dispatch->pool);
+	dispatch->reserved = 0;
 	HASH_ITER(hh, dispatch->jobs, job, next)
 		free_job(dispatch, job);
 	expire_finished(dispatch, UINT64_MAX);
@@ -1054,12 +1111,15 @@
 		.closed = on_run_closed,
 		.found_run = adopt_run,
 		.found_done = adopt_done,
+		.worker_crashed = lease_on_worker_crashed,
 		.ctx = dispatch,
 	};
 
 	dispatch->options = *options;
 	random_seed(&dispatch->random, options->seed);
 	dispatch->pool = pool_create(dispatch, &pool);
+	dispatch->crashes = crash_records_create(dispatch);
+	dispatch->ahead = crash_records_create(dispatch);
 	talloc_set_destructor(dispatch, destroy);
 	return dispatch;
 }
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <talloc.h>
 
+#include "core/crash_record.h"
 #include "core/lease_place.h"
 #include "core/lease_pool.h"
 #include "core/step_job.h"
@@ -42,6 +43,7 @@
 	LEASE_ATTEMPTS, /* a task has failed as often as the queue allows */
 	LEASE_NO_LEADER,
 	LEASE_STOPPING, /* the entry instance shuts down before the answer */
+	LEASE_CRASHES, /* a task has crashed the workers that started it */
 	LEASE_REASON_COUNT,
 };
 
@@ -162,6 +164,18 @@
 				      uint32_t waiting),
 			void *ctx);
 
+/* Returns the records of tasks that crashed workers. */
+struct crash_records *lease_crashes(struct lease_dispatch *dispatch);
+
+/*
+ * Returns the runs that members which may lead next have to be told of, as
+ * unconfirmed crashes; to be cleared then.
+ */
+struct crash_records *lease_crashes_ahead(struct lease_dispatch *dispatch);
+
+/* Judges the tasks of open jobs anew, after another member changed a record. */
+void lease_apply_crashes(struct lease_dispatch *dispatch, uint64_t now_ms);
+
 struct lease_load {
 	uint32_t jobs;
 	uint32_t waiting_tasks;
--- /dev/null
+++ b/packages/core/lease_dispatch_crash.c
@@ -0,0 +1,428 @@
+#include "core/lease_dispatch_state.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+
+/* One worker of so many is reserved for suspects at most, and one at least. */
+#define RESERVED_DIVISOR 8
+#define EXPIRE_INTERVAL_MS 1000
+/* The other workers of its rack have answered by then, unless they are lost. */
+#define RACK_ANSWERS_MS 1000
+
+struct crash_records *lease_crashes(struct lease_dispatch *dispatch)
+{
+	return dispatch->crashes;
+}
+
+/* Records */
+
+static void log_verdict(const struct crash_record *record)
+{
+	uint32_t alone = 0, confirmed = 0;
+
+	for (uint32_t i = 0; i < record->count; i++) {
+		alone += record->crashes[i].is_alone;
+		confirmed += record->crashes[i].is_confirmed;
+	}
+	log_warning(LOG_JOB,
+		    "task %s: %u workers crashed under it, %u confirmed, %u "
+		    "ran nothing else: %s",
+		    record->task, record->count, confirmed, alone,
+		    crash_verdict_text(crash_judge(record)));
+}
+
+static void judge_task(struct lease_dispatch *dispatch, const char *name)
+{
+	struct task *task = lease_find_task(dispatch, name);
+
+	if (task)
+		task->verdict =
+			crash_judge(crash_find(dispatch->crashes, name));
+}
+
+static void note(struct lease_dispatch *dispatch, const char *name,
+		 const struct crash_note *crash)
+{
+	struct crash_record *record;
+
+	if (!crash_note(dispatch->crashes, name, crash))
+		return;
+	record = crash_find(dispatch->crashes, name);
+	crash_mark_unsent(dispatch->crashes, record);
+	log_verdict(record);
+	judge_task(dispatch, name);
+}
+
+static void reserve(struct lease_dispatch *dispatch, struct pool_worker *worker)
+{
+	if (worker->is_reserved)
+		return;
+	pool_reserve_worker(dispatch->pool, worker, true);
+	dispatch->reserved++;
+}
+
+static void unreserve(struct lease_dispatch *dispatch,
+		      struct pool_worker *worker)
+{
+	if (!worker->is_reserved)
+		return;
+	pool_reserve_worker(dispatch->pool, worker, false);
+	dispatch->reserved--;
+}
+
+/* Only a run that the worker acknowledged has certainly begun there. */
+static bool was_alone(const struct pool_run *run)
+{
+	const struct pool_worker *worker = run->worker;
+
+	return worker->run_count == 1 && worker->state == POOL_HELD &&
+	       run->answered_ms;
+}
+
+void lease_on_worker_crashed(void *ctx, struct pool_worker *worker,
+			     bool is_confirmed, uint64_t now_ms)
+{
+	struct lease_dispatch *dispatch = ctx;
+	const struct pool_run *run;
+
+	log_warning(LOG_TARGET, "worker %s: went with %u runs, %s", worker->id,
+		    worker->run_count,
+		    is_confirmed ? "crashed" : "not known whether it crashed");
+	counter_add(COUNTER_WORKERS_CRASHED, 1);
+	LIST_FOREACH(run, &worker->runs, in_worker) {
+		struct crash_note crash = {
+			.worker = worker->key,
+			.born_ms = worker->born_ms,
+			.noted_ms = now_ms,
+			.is_alone = was_alone(run),
+			.is_confirmed = is_confirmed,
+		};
+
+		note(dispatch, run->name, &crash);
+	}
+	unreserve(dispatch, worker);
+}
+
+void lease_tell_start(struct lease_dispatch *dispatch, const char *task,
+		      const struct pool_worker *worker, bool is_alone,
+		      uint64_t now_ms)
+{
+	struct crash_note crash = {
+		.worker = worker->key,
+		.born_ms = worker->born_ms,
+		.noted_ms = now_ms,
+		.is_alone = is_alone,
+	};
+
+	if (is_alone) {
+		log_info(LOG_DISPATCH,
+			 "task %s: suspect, tried alone on worker %s", task,
+			 worker->id);
+		counter_add(COUNTER_TASKS_TRIED_ALONE, 1);
+	}
+	if (worker->born_ms)
+		crash_put(dispatch->ahead, task, &crash);
+}
+
+void lease_tell_open_runs(struct lease_dispatch *dispatch)
+{
+	const struct pool_worker *worker;
+	const struct pool_run *run;
+
+	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry) {
+		LIST_FOREACH(run, &worker->runs, in_worker) {
+			struct crash_note crash = {
+				.worker = worker->key,
+				.born_ms = worker->born_ms,
+				.noted_ms = run->sent_ms,
+				.is_alone = was_alone(run),
+			};
+
+			if (worker->born_ms)
+				crash_put(dispatch->ahead, run->name, &crash);
+		}
+	}
+}
+
+void lease_tell_end(struct lease_dispatch *dispatch, const struct pool_run *run,
+		    enum pool_end how, uint64_t now_ms)
+{
+	struct crash_note crash = {
+		.worker = run->worker->key,
+		.born_ms = run->worker->born_ms,
+		.noted_ms = now_ms,
+		.is_withdrawn = true,
+	};
+
+	if (how != POOL_CRASHED && how != POOL_LAPSED && crash.born_ms)
+		crash_put(dispatch->ahead, run->name, &crash);
+}
+
+struct crash_records *lease_crashes_ahead(struct lease_dispatch *dispatch)
+{
+	return dispatch->ahead;
+}
+
+/* Verdicts */
+
+static bool is_task_of(const char *name, const struct lease_job *job)
+{
+	size_t len = strlen(job->id);
+
+	return !strncmp(name, job->id, len) && name[len] == '.';
+}
+
+static void give_up(struct lease_dispatch *dispatch, struct lease_job *job,
+		    const char *task, uint64_t now_ms)
+{
+	log_warning(LOG_JOB, "job %s: given up, task %s crashes workers",
+		    job->id, task);
+	counter_add(COUNTER_JOBS_CRASHED, 1);
+	lease_finish(dispatch, job, LEASE_FAILED, LEASE_CRASHES, now_ms);
+}
+
+/* No other task starts beside a suspect that already runs. */
+static void isolate(struct lease_dispatch *dispatch, struct task *task)
+{
+	if (task->run)
+		reserve(dispatch, task->run->worker);
+}
+
+bool lease_judge_job(struct lease_dispatch *dispatch, struct lease_job *job,
+		     uint64_t now_ms)
+{
+	const struct crash_record *record = crash_first(dispatch->crashes);
+
+	for (; record; record = record->hh.next) {
+		struct task *task;
+
+		if (!is_task_of(record->task, job))
+			continue;
+		task = lease_find_task(dispatch, record->task);
+		if (!task || task->state == TASK_DONE)
+			continue;
+		task->verdict = crash_judge(record);
+		if (task->verdict == CRASH_GUILTY) {
+			give_up(dispatch, job, record->task, now_ms);
+			return false;
+		}
+		isolate(dispatch, task);
+	}
+	return true;
+}
+
+void lease_apply_crashes(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	const struct crash_record *record = crash_first(dispatch->crashes);
+
+	for (; record; record = record->hh.next) {
+		struct task *task = lease_find_task(dispatch, record->task);
+
+		if (!task || task->state == TASK_DONE)
+			continue;
+		task->verdict = crash_judge(record);
+		if (task->verdict == CRASH_GUILTY)
+			give_up(dispatch, task->job, record->task, now_ms);
+		else
+			isolate(dispatch, task);
+	}
+}
+
+/* Confirmation */
+
+static const struct pool_worker *find_worker(struct lease_dispatch *dispatch,
+					     uint64_t key)
+{
+	const struct pool_worker *worker;
+
+	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry)
+		if (worker->key == key)
+			return worker;
+	return NULL;
+}
+
+enum fate { FATE_UNKNOWN, FATE_CRASHED, FATE_LIVES };
+
+/* The worker has restarted, by itself or with its rack. */
+static enum fate find_rack_fate(const struct lease_dispatch *dispatch,
+				const struct pool_worker *worker,
+				const struct crash_note *crash, uint64_t now_ms)
+{
+	if (worker->draining)
+		return FATE_LIVES;
+	if (pool_rack_state(dispatch->pool, worker, crash->noted_ms, now_ms) !=
+	    POOL_RACK_LOST)
+		return FATE_CRASHED;
+	return now_ms - crash->noted_ms > RACK_ANSWERS_MS ? FATE_LIVES
+							  : FATE_UNKNOWN;
+}
+
+static enum fate find_fate(struct lease_dispatch *dispatch,
+			   const struct crash_note *crash, uint64_t now_ms)
+{
+	const struct pool_worker *worker = find_worker(dispatch, crash->worker);
+
+	if (worker && worker->born_ms > crash->born_ms)
+		return find_rack_fate(dispatch, worker, crash, now_ms);
+	if (worker && worker->state == POOL_HELD && !worker->failures &&
+	    worker->answered_ms > crash->noted_ms)
+		return FATE_LIVES;
+	if (worker && !worker->registered)
+		return worker->draining ? FATE_LIVES : FATE_CRASHED;
+	return FATE_UNKNOWN;
+}
+
+/* May free the record. */
+static void settle_record(struct lease_dispatch *dispatch,
+			  struct crash_record *record, uint64_t now_ms)
+{
+	char name[STEP_JOB_TASK_BYTES];
+	uint32_t count = record->count;
+
+	memcpy(name, record->task, sizeof(name));
+	for (uint32_t i = count; i-- > 0;) {
+		struct crash_note *crash = &record->crashes[i];
+		enum fate fate = crash->is_confirmed
+					 ? FATE_UNKNOWN
+					 : find_fate(dispatch, crash, now_ms);
+
+		if (fate == FATE_CRASHED) {
+			crash->is_confirmed = true;
+			crash_mark_unsent(dispatch->crashes, record);
+			log_verdict(record);
+		} else if (fate == FATE_LIVES) {
+			crash_withdraw(dispatch->crashes, record, i);
+			if (!--count)
+				break; /* the record is freed */
+		}
+	}
+	judge_task(dispatch, name);
+}
+
+static void settle(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	struct crash_record *record = crash_first(dispatch->crashes);
+	struct crash_record *next;
+
+	for (; record; record = next) {
+		next = record->hh.next;
+		settle_record(dispatch, record, now_ms);
+	}
+}
+
+/* Trials */
+
+static bool may_run(const struct place_request *request,
+		    const struct pool_slot *slot)
+{
+	const struct pool_worker *worker = slot->worker;
+
+	return pool_is_usable(worker, request->now_ms) &&
+	       place_suits_empty(request, slot);
+}
+
+/* Returns true if a will be free before b, as far as is known. */
+static bool is_emptier(const struct pool_slot *a, const struct pool_slot *b)
+{
+	if (a->worker->run_count != b->worker->run_count)
+		return a->worker->run_count < b->worker->run_count;
+	return a->speed > b->speed;
+}
+
+/* Where a suspect may run, and where it ran last. */
+struct lonely_slots {
+	const struct pool_slot *reserved; /* and free */
+	const struct pool_slot *other; /* the emptiest that is not reserved */
+	const struct pool_slot *avoided;
+	uint32_t busy; /* reserved workers that are not free yet */
+};
+
+static struct lonely_slots find_lonely(const struct lease_dispatch *dispatch,
+				       const struct place_request *request)
+{
+	struct lonely_slots found = { NULL, NULL, NULL, 0 };
+	const struct pool_slot *slots;
+	size_t count;
+
+	slots = pool_slots(dispatch->pool, &count);
+	for (size_t i = 0; i < count; i++) {
+		const struct pool_slot *slot = &slots[i];
+		const struct pool_worker *worker = slot->worker;
+
+		if (worker->is_reserved && worker->run_count)
+			found.busy++;
+		else if (!may_run(request, slot))
+			continue;
+		else if (request->avoid && !strcmp(request->avoid, worker->id))
+			found.avoided = slot;
+		else if (worker->is_reserved)
+			found.reserved = slot;
+		else if (!found.other || is_emptier(slot, found.other))
+			found.other = slot;
+	}
+	return found;
+}
+
+struct pool_worker *lease_pick_alone(struct lease_dispatch *dispatch,
+				     const struct place_request *request)
+{
+	struct lonely_slots found;
+	const struct pool_slot *best;
+	size_t count;
+
+	if (dispatch->is_alone_full)
+		return NULL;
+	found = find_lonely(dispatch, request);
+	best = found.reserved;
+	if (!best && found.other && found.avoided)
+		unreserve(dispatch, found.avoided->worker);
+	pool_slots(dispatch->pool, &count);
+	if (!best && dispatch->reserved < 1 + count / RESERVED_DIVISOR)
+		best = found.other ? found.other : found.avoided;
+	if (!best) {
+		dispatch->is_alone_full = found.busy >= dispatch->reserved;
+		return NULL;
+	}
+	/* Suspects before it wait for the reserved workers. */
+	if (best->worker->run_count && found.busy > dispatch->unplaced_suspects)
+		return NULL;
+	reserve(dispatch, best->worker);
+	return best->worker->run_count ? NULL : best->worker;
+}
+
+static void free_reserved(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	struct pool_worker *worker;
+	uint32_t waiting = dispatch->unplaced_suspects;
+
+	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry) {
+		if (!worker->is_reserved)
+			continue;
+		if (waiting && pool_is_usable(worker, now_ms)) {
+			waiting--;
+			continue;
+		}
+		if (worker->run_count)
+			continue;
+		unreserve(dispatch, worker);
+	}
+}
+
+void lease_tick_crashes(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	if (dispatch->next_expire_ms <= now_ms) {
+		crash_expire(dispatch->crashes, now_ms);
+		dispatch->next_expire_ms = now_ms + EXPIRE_INTERVAL_MS;
+	}
+	if (!pool_leads(dispatch->pool))
+		return;
+	if (crash_first(dispatch->crashes)) {
+		settle(dispatch, now_ms);
+		lease_apply_crashes(dispatch, now_ms);
+	}
+	if (dispatch->reserved)
+		free_reserved(dispatch, now_ms);
+}
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -8,8 +8,8 @@
 
 /*
  * The state that the parts of the leader's dispatcher share; for
- * lease_dispatch.c, which runs jobs, and lease_dispatch_admission.c, which
- * refuses them.
+ * lease_dispatch.c, which runs jobs, lease_dispatch_admission.c, which refuses
+ * them, and lease_dispatch_crash.c, which handles tasks that crash workers.
  */
 
 #define RETRY_SPREAD_MS 1000 /* random part that keeps retries apart */
@@ -25,6 +25,7 @@
 	uint32_t failures;
 	uint32_t next_number;
 	char *avoid; /* id of the worker where it failed last; or NULL */
+	enum crash_verdict verdict; /* by its record */
 };
 
 struct step_state {
@@ -106,6 +107,12 @@
 	double fastest; /* speed of the fastest usable worker; 0: none */
 	uint64_t loads_counted_ms; /* time of the last lease_refresh_loads */
 	uint64_t next_shed_ms;
+	struct crash_records *crashes;
+	struct crash_records *ahead; /* not told to the next leader yet */
+	uint64_t next_expire_ms; /* of crashes */
+	uint32_t reserved; /* workers reserved for suspects */
+	uint32_t unplaced_suspects; /* of the last round of starts */
+	bool is_alone_full; /* no worker is free for one in this round */
 };
 
 /* lease_dispatch.c */
@@ -118,6 +125,55 @@
 /* Puts the jobs that may start now into dispatch->sorted; returns the count. */
 size_t lease_sort_jobs(struct lease_dispatch *dispatch, uint64_t now_ms);
 
+/* Returns the task named ID.0.STEP.INDEX; NULL if no open job has it. */
+struct task *lease_find_task(struct lease_dispatch *dispatch, const char *name);
+
+/* Names a task ID.0.STEP.INDEX. */
+void lease_name_task(char name[STEP_JOB_TASK_BYTES], const struct task *task);
+
+/* lease_dispatch_crash.c */
+
+/* The pool's worker_crashed option: notes the crash for each run there. */
+void lease_on_worker_crashed(void *ctx, struct pool_worker *worker,
+			     bool is_confirmed, uint64_t now_ms);
+
+/*
+ * Judges the tasks of a job by the records. Returns false if the job has ended:
+ * one of its tasks is guilty.
+ */
+bool lease_judge_job(struct lease_dispatch *dispatch, struct lease_job *job,
+		     uint64_t now_ms);
+
+/*
+ * Returns a worker that runs nothing else, for a suspect; NULL if none is free.
+ * Reserves it, or one that will be free soon.
+ */
+struct pool_worker *lease_pick_alone(struct lease_dispatch *dispatch,
+				     const struct place_request *request);
+
+/*
+ * Tells the next leader of a run before it ends, as an unconfirmed crash: of a
+ * suspect's, or of a job that was handed over. If this leader is lost before it
+ * learns that the worker crashed, the next one sees that by the worker's start
+ * time.
+ */
+void lease_tell_start(struct lease_dispatch *dispatch, const char *task,
+		      const struct pool_worker *worker, bool is_alone,
+		      uint64_t now_ms);
+
+/* Tells the next leader of all open runs; called before they are dropped. */
+void lease_tell_open_runs(struct lease_dispatch *dispatch);
+
+/* Tells the next leader that such a run has ended, unless with its worker. */
+void lease_tell_end(struct lease_dispatch *dispatch, const struct pool_run *run,
+		    enum pool_end how, uint64_t now_ms);
+
+/*
+ * Confirms or withdraws crashes by what is known of the workers now, gives up
+ * jobs of guilty tasks, and frees reserved workers that no suspect waits for.
+ */
+void lease_tick_crashes(struct lease_dispatch *dispatch, uint64_t now_ms);
+
 /* lease_dispatch_admission.c */
 
 /* Computes the job's sort keys: lateness, slack and remaining run time. */
--- a/packages/core/lease_place.c
+++ b/packages/core/lease_place.c
@@ -74,7 +74,7 @@
 	const struct pool_worker *worker = slot->worker;
 	const struct job_step *step = request->step;
 
-	if (!pool_is_usable(worker, request->now_ms) ||
+	if (!pool_is_usable(worker, request->now_ms) || worker->is_reserved ||
 	    !pool_fits(worker, &step->demand) ||
 	    strcmp(worker->service, request->service))
 		return false;
@@ -121,18 +121,34 @@
 	return best ? best->worker : NULL;
 }
 
+static bool is_within(const struct step_job_demand *demand,
+		      const struct step_job_demand *capacity)
+{
+	return demand->cpu_milli <= capacity->cpu_milli &&
+	       demand->mem_mb <= capacity->mem_mb &&
+	       demand->accelerators <= capacity->accelerators;
+}
+
+bool place_suits_empty(const struct place_request *request,
+		       const struct pool_slot *slot)
+{
+	const struct pool_worker *worker = slot->worker;
+	const struct job_step *step = request->step;
+
+	return is_within(&step->demand, &worker->capacity) &&
+	       !strcmp(worker->service, request->service) &&
+	       (!step->label || has_label(worker, step->label)) &&
+	       expected_ms(request, slot) <= request->limit_ms;
+}
+
 bool place_may_ever_fit(const struct pool_worker_list *workers,
 			const char *service, const struct job_step *step)
 {
 	const struct pool_worker *worker;
 
 	TAILQ_FOREACH(worker, workers, entry) {
-		const struct step_job_demand *c = &worker->capacity;
-		const struct step_job_demand *d = &step->demand;
-
 		if (worker->registered && !strcmp(worker->service, service) &&
-		    d->cpu_milli <= c->cpu_milli && d->mem_mb <= c->mem_mb &&
-		    d->accelerators <= c->accelerators &&
+		    is_within(&step->demand, &worker->capacity) &&
 		    (!step->label || has_label(worker, step->label)))
 			return true;
 	}
--- a/packages/core/lease_place.h
+++ b/packages/core/lease_place.h
@@ -40,6 +40,12 @@
 			       const struct lease_pool *pool,
 			       const struct place_request *request);
 
+/*
+ * Returns true if the task could start on the worker if that ran nothing else.
+ */
+bool place_suits_empty(const struct place_request *request,
+		       const struct pool_slot *slot);
+
 /*
  * Returns true if a registered worker of the service is large enough for a task
  * of the step and has its label.
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/crash_record.h"
 
 /*
  * Ticks are 20 ms apart. After a longer gap, answers may still be queued in
@@ -12,6 +13,8 @@
 #define LATE_TICK_MS 40
 /* A worker that is silent for longer is most likely lost or cut off. */
 #define SHORT_SILENCE_MS 1000
+/* Workers of a rack that is lost restart within this time of each other. */
+#define RACK_RESTART_MS 1000
 
 /* talloc frees the entries, but not the hash tables. */
 static int destroy(struct lease_pool *pool)
@@ -54,10 +57,99 @@
 	return worker;
 }
 
+static bool is_rack_mate(const struct pool_worker *a,
+			 const struct pool_worker *b)
+{
+	char **x = a->labels;
+	char **y = b->labels;
+
+	if (a == b || !a->data_centre || !b->data_centre ||
+	    strcmp(a->data_centre, b->data_centre) != 0)
+		return false;
+	for (; x && y && *x && *y; x++, y++)
+		if (strcmp(*x, *y) != 0)
+			return false;
+	return true;
+}
+
+static bool was_just_lost(const struct pool_worker *worker, uint64_t now_ms)
+{
+	return worker->failures ||
+	       (worker->restarted_ms &&
+		now_ms - worker->restarted_ms < RACK_RESTART_MS);
+}
+
+enum pool_rack pool_rack_state(const struct lease_pool *pool,
+			       const struct pool_worker *worker,
+			       uint64_t since_ms, uint64_t now_ms)
+{
+	enum pool_rack state = POOL_RACK_UNKNOWN;
+	const struct pool_worker *mate;
+
+#ifdef BREAK_RACK
+	return POOL_RACK_LIVES;
+#endif
+	TAILQ_FOREACH(mate, &pool->workers, entry) {
+		if (mate->draining || !is_rack_mate(mate, worker))
+			continue;
+		if (was_just_lost(mate, now_ms))
+			state = POOL_RACK_LOST;
+		else if (mate->state == POOL_HELD &&
+			 mate->answered_ms >= since_ms)
+			return POOL_RACK_LIVES;
+	}
+	return state;
+}
+
+/* Asks the rack mates of a silent worker whether they live. */
+static void probe_rack_mates(struct lease_pool *pool,
+			     struct pool_worker *worker, uint64_t now_ms)
+{
+	struct pool_worker *mate;
+
+	worker->mates_probed = true;
+	TAILQ_FOREACH(mate, &pool->workers, entry)
+		if (mate->state == POOL_HELD && !mate->hold_pending &&
+		    !mate->failures && is_rack_mate(mate, worker))
+			pool_send_hold(pool, mate, 0, now_ms);
+}
+
+/*
+ * Reports a worker that restarted or fell silent under its runs, unless it left
+ * as planned or fell silent with its rack. Returns true if it has crashed.
+ */
+static bool note_crash(struct lease_pool *pool, struct pool_worker *worker,
+		       bool is_restarted, uint64_t now_ms)
+{
+	uint64_t since_ms =
+		worker->lost_ms ? worker->lost_ms : worker->answered_ms;
+	enum pool_rack rack;
+	bool is_confirmed;
+
+	if (!worker->run_count || !worker->born_ms || worker->draining)
+		return false;
+	rack = pool_rack_state(pool, worker, since_ms, now_ms);
+	if (!is_restarted && rack == POOL_RACK_LOST)
+		return false;
+	is_confirmed = is_restarted && rack != POOL_RACK_LOST;
+	pool->options.worker_crashed(pool->options.ctx, worker, is_confirmed,
+				     now_ms);
+	if (!is_confirmed)
+		probe_rack_mates(pool, worker, now_ms);
+	return is_confirmed;
+}
+
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
-	pool_close_previous_runs(pool, worker, now_ms);
+	enum pool_end how = note_crash(pool, worker, true, now_ms)
+				    ? POOL_CRASHED
+				    : POOL_LAPSED;
+
+	pool_close_previous_runs(pool, worker, how, now_ms);
+	worker->restarted_ms = now_ms;
+	worker->lost_ms = 0;
+	worker->mates_probed = false;
 	worker->state = POOL_UNHELD;
 	worker->hold_serial = 0; /* ignores an answer of the old process */
 	worker->hold_pending = false;
@@ -98,10 +190,18 @@
 
 	slot->worker = worker;
 	slot->speed = worker->speed;
-	slot->spare_milli = capacity > used ? capacity - used : 0;
+	slot->spare_milli =
+		capacity > used && !worker->is_reserved ? capacity - used : 0;
 	pool->room_version++;
 }
 
+void pool_reserve_worker(struct lease_pool *pool, struct pool_worker *worker,
+			 bool is_reserved)
+{
+	worker->is_reserved = is_reserved;
+	pool_update_slot(pool, worker);
+}
+
 const struct pool_slot *pool_slots(const struct lease_pool *pool, size_t *count)
 {
 	*count = pool->slot_count;
@@ -126,6 +226,7 @@
 	struct pool_worker *worker = talloc_zero(pool, struct pool_worker);
 
 	worker->id = talloc_strdup(worker, id);
+	worker->key = crash_worker_key(id);
 	worker->speed = 1.0;
 	LIST_INIT(&worker->runs);
 	add_slot(pool, worker);
@@ -350,6 +451,7 @@
 		while ((run = LIST_FIRST(&worker->runs)))
 			pool_free_run(pool, run);
 		worker->state = POOL_UNHELD;
+		worker->is_reserved = false;
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		/* If this instance leads again, it reads all ends again. */
@@ -412,6 +514,8 @@
 	struct pool_run *run = LIST_FIRST(&worker->runs);
 	struct pool_run *next;
 
+	if (worker->run_count && worker->failures && !worker->mates_probed)
+		probe_rack_mates(pool, worker, now_ms);
 	for (; run; run = next) {
 		next = LIST_NEXT(run, in_worker);
 		pool_tick_run(pool, run, now_ms);
@@ -425,6 +529,8 @@
 			    "answer %" PRIu64 " ms ago; closing them",
 			    worker->id, worker->run_count,
 			    now_ms - worker->answered_ms);
+		if (worker->failures)
+			note_crash(pool, worker, false, now_ms);
 		pool_close_all(pool, worker, now_ms);
 	}
 	pool_send_due_hold(pool, worker, now_ms);
@@ -433,7 +539,7 @@
 static bool is_removable(const struct pool_worker *worker, uint64_t now_ms)
 {
 	return !worker->registered && !worker->run_count &&
-	       !worker->hold_pending &&
+	       !worker->is_reserved && !worker->hold_pending &&
 	       (worker->draining ||
 		now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS);
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -58,6 +58,7 @@
 	POOL_NO_ROOM, /* refused: does not fit */
 	POOL_OLD, /* refused: worker has seen this run number or a higher one */
 	POOL_NOT_RUN, /* refused, or shown never to have begun */
+	POOL_CRASHED, /* its worker crashed and restarted */
 	POOL_END_COUNT,
 };
 
@@ -72,6 +73,7 @@
 	UT_hash_handle hh;
 	TAILQ_ENTRY(pool_worker) entry;
 	char *id;
+	uint64_t key; /* crash_worker_key of its id */
 	char *address;
 	char *service;
 	char *data_centre;
@@ -79,6 +81,7 @@
 	struct step_job_demand capacity;
 	struct step_job_demand used; /* by open runs */
 	uint64_t born_ms;
+	uint64_t restarted_ms; /* when this was noticed; 0: never */
 	bool draining;
 	bool registered;
 	uint64_t unregistered_ms; /* when its registration was removed */
@@ -94,6 +97,8 @@
 	uint64_t lease_until_ms; /* runs we started have ended by then */
 	uint32_t failures; /* unanswered holds in a row */
 	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
+	uint64_t lost_ms; /* time of the first of them; 0: answers holds */
+	bool mates_probed; /* since lost_ms */
 	uint64_t retry_ms; /* no hold is sent before */
 	uint64_t answered_ms; /* time of the last answer to a hold */
 	uint64_t probed_ms; /* when the last answered hold was sent */
@@ -106,6 +111,7 @@
 	uint32_t run_count;
 	uint32_t unwanted_count; /* of open runs; see is_unwanted */
 	bool hold_renews; /* the last hold renews the lease */
+	bool is_reserved; /* for a task that is tried alone */
 	size_t slot; /* index in the pool's slots */
 };
 
@@ -250,6 +256,13 @@
 	/* The same for a run that was found to have ended as POOL_DONE. */
 	bool (*found_done)(void *ctx, const char *job, const char *task,
 			   uint64_t now_ms);
+	/*
+	 * Called for a worker that has gone, before its runs are closed.
+	 * is_confirmed is unset if its rack may have been lost with it, or if
+	 * it may still run out of reach, its lease having lapsed.
+	 */
+	void (*worker_crashed)(void *ctx, struct pool_worker *worker,
+			       bool is_confirmed, uint64_t now_ms);
 	void *ctx;
 };
 
@@ -392,6 +405,21 @@
  */
 bool pool_counts_as_capacity(const struct pool_worker *worker, uint64_t now_ms);
 
+enum pool_rack {
+	POOL_RACK_UNKNOWN, /* no other worker of the rack has answered since */
+	POOL_RACK_LIVES,
+	POOL_RACK_LOST, /* others were lost, too, and none has answered since */
+};
+
+/* Returns how the other workers of a worker's rack have fared since a time. */
+enum pool_rack pool_rack_state(const struct lease_pool *pool,
+			       const struct pool_worker *worker,
+			       uint64_t since_ms, uint64_t now_ms);
+
+/* Reserves a worker: only tasks that are tried alone start on it. */
+void pool_reserve_worker(struct lease_pool *pool, struct pool_worker *worker,
+			 bool is_reserved);
+
 /* Returns true if a task fits into what open runs leave of the worker. */
 bool pool_fits(const struct pool_worker *worker,
 	       const struct step_job_demand *demand);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -214,6 +214,8 @@
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		worker->failures = 0;
+		worker->lost_ms = 0;
+		worker->mates_probed = false;
 		worker->retry_ms = 0;
 		/* Another leader may have renewed it up to now. */
 		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
@@ -397,7 +399,7 @@
 	/* The first retry is immediate: the lease may lapse soon. */
 	worker->retry_ms = worker->failures ? now_ms + wait_ms : now_ms;
 	if (!worker->failures)
-		worker->silent_ms = now_ms;
+		worker->silent_ms = worker->lost_ms = now_ms;
 	if (answer == POOL_NOT_SENT)
 		worker->silent_ms = 0;
 	/* Nothing listens there: no task starts on it from now on. */
@@ -423,7 +425,7 @@
 	    worker->failures >= POOL_LOST_HOLDS)
 		return;
 	if (!worker->failures)
-		worker->silent_ms = now_ms;
+		worker->silent_ms = worker->lost_ms = now_ms;
 	worker->failures = POOL_LOST_HOLDS;
 	worker->retry_ms = now_ms;
 }
@@ -439,6 +441,8 @@
 	if (worker->failures)
 		pool->room_version++;
 	worker->failures = 0;
+	worker->lost_ms = 0;
+	worker->mates_probed = false;
 	worker->retry_ms = 0;
 	worker->answered_ms = now_ms;
 	worker->probed_ms = worker->hold_sent_ms;
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -28,7 +28,7 @@
 	[POOL_DONE] = "done",	    [POOL_FAILED] = "failed",
 	[POOL_STOPPED] = "stopped", [POOL_LAPSED] = "lapsed",
 	[POOL_NO_ROOM] = "no_room", [POOL_OLD] = "old",
-	[POOL_NOT_RUN] = "not_run",
+	[POOL_NOT_RUN] = "not_run", [POOL_CRASHED] = "crashed",
 };
 
 const char *pool_end_text(enum pool_end how)
@@ -196,7 +196,8 @@
 }
 
 void pool_close_previous_runs(struct lease_pool *pool,
-			      struct pool_worker *worker, uint64_t now_ms)
+			      struct pool_worker *worker, enum pool_end how,
+			      uint64_t now_ms)
 {
 	struct pool_run *run = LIST_FIRST(&worker->runs);
 	struct pool_run *next;
@@ -207,7 +208,7 @@
 		if (run->answered_ms)
 #endif
 		{
-			pool_close_run(pool, run, POOL_LAPSED, now_ms);
+			pool_close_run(pool, run, how, now_ms);
 			continue;
 		}
 		run->close_at_ms = 0;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -146,12 +146,13 @@
 		    uint64_t now_ms);
 
 /*
- * Closes the acknowledged runs of a worker that has restarted. A start without
- * an answer may reach the new process, so its run stays open and is stopped
- * again: the new process does not know of earlier stops.
+ * Closes the acknowledged runs of a worker that has restarted, as how says. A
+ * start without an answer may reach the new process, so its run stays open and
+ * is stopped again: the new process does not know of earlier stops.
  */
 void pool_close_previous_runs(struct lease_pool *pool,
-			      struct pool_worker *worker, uint64_t now_ms);
+			      struct pool_worker *worker, enum pool_end how,
+			      uint64_t now_ms);
 
 /* Calls found_run for an open run; stops the run if its task needs no run. */
 void pool_offer_run(struct lease_pool *pool, struct pool_run *run,
