--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -69,6 +69,12 @@
 	}
 }
 
+static void release_lead(struct lease_node *lease_node, uint64_t now_ms)
+{
+	lease_release(lease_node->dispatch);
+	lease_node_send_crashes(lease_node, now_ms);
+}
+
 /* Applies a change of the leader. */
 static void apply_leader(struct lease_node *lease_node, uint64_t now_ms)
 {
@@ -77,7 +83,7 @@
 
 	if (claim != lease_node->claim) {
 		if (!claim)
-			lease_release(lease_node->dispatch);
+			release_lead(lease_node, now_ms);
 		else
 			lease_lead(lease_node->dispatch, claim, now_ms);
 		lease_node->claim = claim;
@@ -158,6 +164,7 @@
 	lease_node_send_beats(lease_node, now_ms);
 	relay_tick(lease_node->relay, now_ms);
 	lease_tick(lease_node->dispatch, now_ms);
+	lease_node_send_crashes(lease_node, now_ms);
 	lease_node_expire_jobs(lease_node, now_ms);
 }
 
@@ -167,6 +174,7 @@
 	if (lease_node->run_due)
 		lease_run(lease_node->dispatch, now_ms);
 	lease_node->run_due = false;
+	lease_node_send_crashes(lease_node, now_ms);
 	relay_flush(lease_node->relay);
 }
 
@@ -230,6 +238,7 @@
 {
 	pool_register_worker(lease_pool(lease_node->dispatch), registration,
 			     now_ms);
+	lease_node_send_crashes(lease_node, now_ms);
 }
 
 void lease_node_worker_removed(struct lease_node *lease_node, const char *id,
@@ -294,6 +303,7 @@
 	pool_hold_answered(lease_pool(lease_node->dispatch), worker, serial,
 			   reply, lists, now_ms);
 	lease_run(lease_node->dispatch, now_ms);
+	lease_node_send_crashes(lease_node, now_ms);
 }
 
 void lease_node_record_lag(struct lease_node *lease_node, uint64_t lag_ms)
@@ -335,6 +345,7 @@
 {
 	lease_node_check_pause(lease_node, now_ms);
 	leader_link_up(lease_node->members, hello, now_ms);
+	lease_node_send_all_crashes(lease_node, hello->incarnation, now_ms);
 	lease_node_send_beats(lease_node, now_ms);
 	lease_node_reassign(lease_node, now_ms);
 }
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -494,6 +494,10 @@
 				      msg->worker_answers, now_ms);
 		lease_node_schedule_run(lease_node);
 		break;
+	case BERGAMOT__PEER__BODY_CRASH_RECORDS:
+		lease_node_on_crashes(lease_node, from, msg->crash_records,
+				      now_ms);
+		break;
 	default:
 		log_debug(LOG_PEER,
 			  "dropped message of type %d of a peer: not used "
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -107,4 +107,17 @@
 /* Passes the dispatcher's answer to the instance that accepted the job. */
 void lease_node_on_answer(void *ctx, const struct lease_answer *answer);
 
+/* lease_node_crash.c */
+
+/* Tells linked members of the crashes noted here since the last call. */
+void lease_node_send_crashes(struct lease_node *lease_node, uint64_t now_ms);
+
+/* Sends all records of crashes to a member. */
+void lease_node_send_all_crashes(struct lease_node *lease_node, uint64_t to,
+				 uint64_t now_ms);
+
+/* Merges a member's records of crashes with ours. */
+void lease_node_on_crashes(struct lease_node *lease_node, uint64_t from,
+			   const Bergamot__CrashRecords *msg, uint64_t now_ms);
+
 #endif
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -38,6 +38,8 @@
 #define LARGE_WEIGHT 500
 #define SMALL_WEIGHT 90
 #define WEIGHT 250
+#define CUT_OFF_MS 4000
+#define MAX_CRASHES 16 /* that are kept of a task */
 
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
@@ -46,6 +48,8 @@
 	int node; /* the instance that started it */
 	uint64_t started_ms;
 	uint64_t ends_ms;
+	struct job
+		*crashes; /* job of a deadly task, which crashes the worker */
 };
 
 struct end {
@@ -89,6 +93,7 @@
 	struct hold holds[MAX_NODES];
 	bool has_holds; /* one of them may wait */
 	uint64_t born; /* start time in ms */
+	uint64_t down_until_ms; /* refuses connections */
 };
 
 struct node {
@@ -112,6 +117,7 @@
 	EV_HOLD_REPLY,
 	EV_RESEND,
 	EV_FLUSH,
+	EV_REACTION,
 };
 enum order_kind { ORDER_HOLD, ORDER_START, ORDER_STOP };
 
@@ -153,6 +159,9 @@
 	bool refused;
 	bool only_refused; /* every attempt so far was refused */
 	uint32_t attempts; /* of the caller */
+	bool is_deadly; /* its first task crashes workers */
+	uint32_t crashes;
+	uint64_t crashed_by[MAX_CRASHES]; /* incarnations of the starters */
 };
 
 struct request {
@@ -187,6 +196,7 @@
 	uint64_t now_ms;
 	bool faults_ended;
 	bool started; /* all instances were started once */
+	struct job *reacted_to; /* whose crash caused the reaction */
 	uint64_t power_on_ms; /* the first instance is back; 0: not killed */
 };
 
@@ -347,6 +357,10 @@
 	if (job->request != answer->request)
 		return; /* of an earlier attempt */
 	job->open = false;
+	if (answer->end == LEASE_FAILED && job->is_deadly)
+		site->result->deadly_failed++;
+	else if (answer->end == LEASE_FAILED)
+		site->result->innocent_failed++;
 	switch (answer->end) {
 	case LEASE_COMPLETED:
 	case LEASE_FAILED:
@@ -557,11 +571,17 @@
 	return job->attempts;
 }
 
+static bool is_first_task(const char *task)
+{
+	return !strcmp(task + STEP_JOB_ID_DIGITS, ".0.0.0");
+}
+
 static enum pool_answer start_run(struct site *site, struct worker *w,
 				  const struct event *e)
 {
 	struct seen_run *seen_run = get_seen_run(w, e->task);
 	uint32_t attempt;
+	struct job *job;
 	struct run *run;
 
 	if (e->deadline_ms <= site->now_ms)
@@ -588,6 +608,11 @@
 	run->started_ms = site->now_ms;
 	run->ends_ms = site->now_ms + MIN_RUN_MS +
 		       random_below(&site->random, 2 * task_ms(site));
+	HASH_FIND(hh, site->jobs, e->task, STEP_JOB_ID_DIGITS, job);
+	run->crashes =
+		job && job->is_deadly && is_first_task(e->task) ? job : NULL;
+	if (run->crashes)
+		run->ends_ms = site->now_ms + MIN_RUN_MS;
 	if (e->deadline_ms > w->lease_ms)
 		w->lease_ms = e->deadline_ms;
 	return POOL_OK;
@@ -653,6 +678,8 @@
 	reply->worker = e->worker;
 	reply->token = e->token;
 	reply->reply.answer = answer;
+	if (answer == POOL_NOT_SENT)
+		return;
 	reply->reply.clock_ms = site->now_ms;
 	reply->reply.born_ms = e->worker->born;
 }
@@ -663,6 +690,10 @@
 
 	if (!w)
 		return;
+	if (w->down_until_ms > site->now_ms) {
+		reply_later(site, e, POOL_NOT_SENT);
+		return;
+	}
 	if (e->fence < w->fence) {
 		reply_later(site, e, POOL_FENCED);
 		return;
@@ -723,13 +754,81 @@
 				 &lists, site->now_ms);
 }
 
+/* Restarts a worker without its state. */
+static void restart_worker(struct site *site, struct worker *w)
+{
+	struct seen_run *seen_run, *next;
+
+	for (uint32_t n = 0; n < site->options->instances; n++)
+		if (w->holds[n].waits)
+			lose_hold(site, w, (int)n);
+	w->run_count = w->end_count = 0;
+	w->last_end = 0;
+	w->fence = 0;
+	w->lease_ms = 0;
+	w->born += 1000;
+	memset(w->holds, 0, sizeof(w->holds));
+	HASH_ITER(hh, w->seen_runs, seen_run, next) {
+		HASH_DEL(w->seen_runs, seen_run);
+		talloc_free(seen_run);
+	}
+}
+
+static void count_crash(struct site *site, struct job *job, uint64_t by)
+{
+	uint32_t by_one = 0;
+
+	if (job->crashes < MAX_CRASHES)
+		job->crashed_by[job->crashes] = by;
+	job->crashes++;
+	if (job == site->reacted_to)
+		site->result->reacted_crashes = job->crashes;
+	for (uint32_t i = 0; i < job->crashes && i < MAX_CRASHES; i++)
+		by_one += job->crashed_by[i] == by;
+	site->result->crashes++;
+	if (job->crashes > site->result->most_crashes)
+		site->result->most_crashes = job->crashes;
+	if (by_one > site->result->most_crashes_by_one)
+		site->result->most_crashes_by_one = by_one;
+}
+
+static void crash_under(struct site *site, struct worker *w,
+			const struct run *run)
+{
+	const struct fake_site_options *o = site->options;
+	struct job *job = run->crashes;
+	struct node *starter = &site->nodes[run->node];
+
+	log_info(LOG_TARGET,
+		 "at %" PRIu64 " ms: worker %s crashes under task %s run %u",
+		 site->now_ms, w->id, run->task, run->number);
+	count_crash(site, job, starter->incarnation);
+	if (o->reaction != FAKE_SITE_NOTHING && !site->reacted_to &&
+	    job->crashes == o->react_at) {
+		struct event *event =
+			schedule_event(site, EV_REACTION, o->react_ms + 1);
+
+		event->node = run->node;
+		event->incarnation = starter->incarnation;
+		site->reacted_to = job;
+		site->result->reacted_crashes = job->crashes;
+	}
+	restart_worker(site, w);
+	w->down_until_ms = site->now_ms + o->down_ms;
+}
+
 static void step_worker(struct site *site, struct worker *w)
 {
 	for (size_t i = 0; i < w->run_count; i++)
-		if (w->lease_ms <= site->now_ms)
+		if (w->lease_ms <= site->now_ms) {
 			end_run(w, i--, POOL_LAPSED);
-		else if (w->runs[i].ends_ms <= site->now_ms)
+		} else if (w->runs[i].ends_ms <= site->now_ms) {
+			if (w->runs[i].crashes) {
+				crash_under(site, w, &w->runs[i]);
+				return;
+			}
 			end_run(w, i--, POOL_DONE);
+		}
 	if (!w->has_holds)
 		return;
 	w->has_holds = false;
@@ -967,7 +1066,10 @@
 	request->job = job;
 	HASH_ADD(hh, site->requests, number, sizeof(request->number), request);
 	lease_node_submit(node->lease_node, job->request, &queue, spec,
-			  DEADLINE_MS, site->now_ms);
+			  site->options->deadline_ms
+				  ? site->options->deadline_ms
+				  : DEADLINE_MS,
+			  site->now_ms);
 }
 
 static void submit_new_job(struct site *site)
@@ -976,6 +1078,9 @@
 
 	snprintf(job->id, sizeof(job->id), "%016x", ++site->result->jobs);
 	job->only_refused = true;
+	if (site->options->deadly_percent)
+		job->is_deadly = random_below(&site->random, 100) <
+				 site->options->deadly_percent;
 	HASH_ADD(hh, site->jobs, id, STEP_JOB_ID_DIGITS, job);
 	submit(site, job);
 }
@@ -1058,17 +1163,23 @@
 		kill_node(site, node);
 }
 
-static void stop_random_node(struct site *site)
+static void begin_stop(struct site *site, struct node *node)
 {
-	struct node *node = pick_running_node(site);
-
-	if (!node || node->stop_ends_ms)
+	if (node->stop_ends_ms)
 		return;
 	node->stop_ends_ms = site->now_ms + STOP_LIMIT_MS;
 	lease_node_begin_stop(node->lease_node, node->stop_ends_ms,
 			      site->now_ms);
 }
 
+static void stop_random_node(struct site *site)
+{
+	struct node *node = pick_running_node(site);
+
+	if (node)
+		begin_stop(site, node);
+}
+
 /* Resets a link, which is opened again at once. */
 static void reset_link(struct site *site)
 {
@@ -1085,22 +1196,37 @@
 /* Restarts a worker under its id, without its state. */
 static void crash_worker(struct site *site)
 {
-	struct worker *w = &site->workers[random_below(&site->random,
-						       site->options->workers)];
-	struct seen_run *seen_run, *next;
+	restart_worker(site, &site->workers[random_below(
+				     &site->random, site->options->workers)]);
+}
 
-	for (uint32_t n = 0; n < site->options->instances; n++)
-		if (w->holds[n].waits)
-			lose_hold(site, w, (int)n);
-	w->run_count = w->end_count = 0;
-	w->last_end = 0;
-	w->fence = 0;
-	w->lease_ms = 0;
-	w->born += 1000;
-	memset(w->holds, 0, sizeof(w->holds));
-	HASH_ITER(hh, w->seen_runs, seen_run, next) {
-		HASH_DEL(w->seen_runs, seen_run);
-		talloc_free(seen_run);
+static void react(struct site *site, struct node *node)
+{
+	uint64_t until_ms = site->now_ms + CUT_OFF_MS;
+	uint32_t n = site->options->instances;
+
+	if (!is_running(site, node))
+		return;
+	switch (site->options->reaction) {
+	case FAKE_SITE_KILLED:
+		kill_node(site, node);
+		break;
+	case FAKE_SITE_STOPPED:
+		begin_stop(site, node);
+		break;
+	case FAKE_SITE_CUT_OFF:
+		for (uint32_t a = 0; a < n; a++) {
+			for (uint32_t b = 0; b < n; b++)
+				if ((a ^ b) & 1)
+					site->cut_until_ms[a][b] = until_ms;
+			for (uint32_t w = 0; w < site->options->workers; w++)
+				if ((a ^ w) & 1)
+					site->worker_cut_until_ms[a][w] =
+						until_ms;
+		}
+		break;
+	default:
+		break;
 	}
 }
 
@@ -1185,6 +1311,10 @@
 	}
 	if (!node->lease_node || node->incarnation != e->incarnation)
 		return;
+	if (e->kind == EV_REACTION) {
+		react(site, node);
+		return;
+	}
 	if (!is_running(site, node)) {
 		struct event *later = schedule_event(
 			site, e->kind, node->frozen_until_ms - site->now_ms);
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -12,6 +12,14 @@
  * found only by what the workers and the callers observe.
  */
 
+/* What happens to the instance whose start crashed a worker. */
+enum fake_site_reaction {
+	FAKE_SITE_NOTHING,
+	FAKE_SITE_KILLED,
+	FAKE_SITE_STOPPED,
+	FAKE_SITE_CUT_OFF, /* with half of the instances and workers, for 4 s */
+};
+
 struct fake_site_options {
 	uint32_t instances;
 	uint32_t workers;
@@ -30,6 +38,17 @@
 	/* Estimate of a task, which runs for up to twice as long; 0: 300. */
 	uint32_t task_ms;
 	uint32_t faults_per_s;
+	uint32_t deadline_ms; /* of callers; 0: 4 s */
+	/*
+	 * Jobs whose first task crashes each worker that starts it, which is
+	 * back after down_ms; and what happens, once, react_ms after the first
+	 * such task has crashed react_at workers.
+	 */
+	uint32_t deadly_percent;
+	uint32_t down_ms;
+	uint32_t react_at;
+	uint32_t react_ms;
+	enum fake_site_reaction reaction;
 	uint64_t seed;
 };
 
@@ -47,6 +66,12 @@
 	uint32_t wrong_answers; /* refused but run, or answered twice */
 	uint32_t faults;
 	uint32_t leaders; /* at the end */
+	uint32_t crashes; /* by deadly tasks */
+	uint32_t most_crashes; /* by one task */
+	uint32_t reacted_crashes; /* by the task that caused the reaction */
+	uint32_t most_crashes_by_one; /* by one task, started by one leader */
+	uint32_t deadly_failed; /* jobs with such a task that failed */
+	uint32_t innocent_failed; /* other jobs that failed */
 	/* After kill_all_ms, from the return of the first instance on. */
 	uint32_t leader_after_ms; /* until one leads */
 	uint32_t completed_after_ms; /* until the first job is completed */
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -5,8 +5,10 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "base/tests/run_suite.h"
 #include "fake_orders.h"
+#include "fake_site.h"
 
 #define ID "00000000000000a1"
 #define TASK ID ".0.0.0"
@@ -34,6 +36,18 @@
 	talloc_free(fake);
 }
 
+/* The other workers, which run nothing, answer holds. */
+static void answer_mates(const char *except)
+{
+	for (int i = 1; i <= 4; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		if (strcmp(id, except) != 0)
+			fake_orders_answer_hold(fake, id, NULL, 0, NULL, 0);
+	}
+}
+
 /* The worker crashes, and answers holds as a new process. */
 static void crash(const char *worker)
 {
@@ -41,6 +55,7 @@
 	fake_orders_advance(fake, DOWN_MS);
 	fake_orders_answer_hold(fake, worker, NULL, 0, NULL, 0);
 	fake_orders_answer_hold(fake, worker, NULL, 0, NULL, 0);
+	answer_mates(worker);
 }
 
 /* Crashes each worker that starts the task; returns the number of crashes. */
@@ -81,8 +96,348 @@
 }
 END_TEST
 
+/* Each start is acknowledged; returns the worker of the last one of a task. */
+static const char *acknowledge(const char *task)
+{
+	const struct fake_orders_order *start = fake_orders_started(fake, task);
+
+	ck_assert_ptr_nonnull(start);
+	fake_orders_answer_start(fake, start, POOL_OK);
+	return start->worker;
+}
+
+/*
+ * A worker goes with a run of each of two jobs. Both tasks are tried alone, one
+ * after the other: the neighbour completes, in any order.
+ */
+START_TEST(test_neighbour_of_a_crash_completes)
+{
+	static const char other_task[] = "00000000000000a2.0.0.0";
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct lease_submission other =
+		fake_orders_submission("00000000000000a2", 1);
+	struct pool_listed_end end = { 1, other_task, 2, POOL_DONE };
+	const struct fake_orders_order *start;
+	uint32_t crashes = 1;
+	char worker[32];
+
+	job.remaining_ms = other.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	fake_orders_submit(fake, &other);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	ck_assert_str_eq(acknowledge(other_task), worker);
+	crash(worker);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 3);
+	while (!strcmp(fake->starts[fake->start_count - 1].task, TASK)) {
+		snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+		crash(worker);
+		ck_assert_uint_le(++crashes, MAX_CRASHES);
+		fake_orders_advance(fake, 20);
+	}
+	start = fake_orders_started(fake, other_task);
+	ck_assert_uint_eq(start->number, 2);
+	fake_orders_answer_start(fake, start, POOL_OK);
+	fake_orders_answer_hold(fake, start->worker, NULL, 0, &end, 1);
+	fake_orders_advance(fake, 20);
+	if (crashes < MAX_CRASHES)
+		crashes += crash_all(TASK);
+	ck_assert_uint_eq(crashes, MAX_CRASHES);
+	ck_assert_uint_eq(fake->answer_count, 2);
+	for (int i = 0; i < 2; i++)
+		if (fake->answers[i].waiter.request != job.waiter.request)
+			ck_assert_int_eq(fake->answers[i].end, LEASE_COMPLETED);
+		else
+			ck_assert_int_eq(fake->answers[i].reason,
+					 LEASE_CRASHES);
+}
+END_TEST
+
+/* No other task starts beside a suspect. */
+START_TEST(test_start_beside_a_suspect)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct lease_submission other =
+		fake_orders_submission("00000000000000a2", 20);
+	char worker[32];
+
+	job.remaining_ms = other.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	crash(worker);
+	fake_orders_advance(fake, 20);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	fake_orders_submit(fake, &other);
+	fake_orders_advance(fake, 20);
+	for (size_t i = 0; i < fake->start_count; i++)
+		if (strcmp(fake->starts[i].task, TASK) != 0)
+			ck_assert_str_ne(fake->starts[i].worker, worker);
+	ck_assert_uint_gt(fake->start_count, 2);
+}
+END_TEST
+
+/* Registers a worker anew, as a store would after it has restarted. */
+static void register_again(const char *id, uint64_t born_ms, bool draining)
+{
+	static const char *const labels[] = { "a", NULL };
+	struct pool_registration registration = {
+		.id = id,
+		.address = "127.0.0.1:1",
+		.service = "s",
+		.data_centre = "dc",
+		.labels = labels,
+		.capacity = { 4000, 32768, 0 },
+		.born_ms = born_ms,
+		.draining = draining,
+	};
+
+	pool_register_worker(lease_pool(fake->dispatch), &registration,
+			     fake->now_ms);
+}
+
+static struct crash_record *record_of(const char *task)
+{
+	return crash_find(lease_crashes(fake->dispatch), task);
+}
+
+/* A worker that leaves as planned crashes under nobody. */
+START_TEST(test_planned_leave_is_no_crash)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	char worker[32];
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	register_again(worker, 1, true);
+	fake_orders_advance(fake, 100);
+	register_again(worker, fake->now_ms, true);
+	ck_assert_ptr_null(record_of(TASK));
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
+/* Workers of a rack that are lost together crash under nobody. */
+START_TEST(test_lost_rack_is_no_crash)
+{
+	struct lease_submission job = fake_orders_submission(ID, 16);
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 16);
+	for (size_t i = 0; i < 16; i++)
+		fake_orders_answer_start(fake, &fake->starts[i], POOL_OK);
+	for (int i = 0; i < 4; i++)
+		for (int w = 1; w <= 4; w++) {
+			char id[8];
+
+			snprintf(id, sizeof(id), "w%d", w);
+			fake_orders_lose_hold(fake, id);
+			fake_orders_advance(fake, 10);
+		}
+	fake_orders_advance(fake, 500);
+	fake_orders_restart_worker(fake, "w1", fake->now_ms);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_advance(fake, 1500);
+	for (int i = 0; i < 16; i++) {
+		char task[STEP_JOB_TASK_BYTES];
+
+		snprintf(task, sizeof(task), "%s.0.0.%d", ID, i);
+		ck_assert_ptr_null(record_of(task));
+	}
+}
+END_TEST
+
+/* The worker's lease lapses while it is out of reach, and it returns. */
+START_TEST(test_lapse_behind_a_cut_is_no_crash)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	char worker[32];
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	for (int i = 0; i < 100 && fake->start_count < 2; i++) {
+		fake_orders_lose_hold(fake, worker);
+		answer_mates(worker);
+		fake_orders_advance(fake, 130);
+	}
+	ck_assert_uint_eq(fake->start_count, 2);
+	ck_assert_ptr_nonnull(record_of(TASK));
+	ck_assert_int_eq(crash_judge(record_of(TASK)), CRASH_SUSPECT);
+	fake_orders_advance(fake, 300);
+	fake_orders_answer_hold(fake, worker, NULL, 0, NULL, 0);
+	fake_orders_advance(fake, 20);
+	ck_assert_ptr_null(record_of(TASK));
+}
+END_TEST
+
+/* A job that crashed workers under the former leader fails at once. */
+START_TEST(test_resent_job_of_a_guilty_task)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct crash_note crash = {
+		.noted_ms = fake->now_ms,
+		.born_ms = 1,
+		.is_alone = true,
+		.is_confirmed = true,
+	};
+
+	for (crash.worker = 1; crash.worker <= 2; crash.worker++)
+		crash_note(lease_crashes(fake->dispatch), TASK, &crash);
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->start_count, 0);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_FAILED);
+	ck_assert_int_eq(fake->answers[0].reason, LEASE_CRASHES);
+}
+END_TEST
+
+/* A worker that crashes by itself, under one task after the other. */
+START_TEST(test_worker_that_crashes_by_itself_fails_no_job)
+{
+	for (int i = 0; i < 12; i++) {
+		char id[STEP_JOB_ID_BYTES], task[STEP_JOB_TASK_BYTES];
+		struct lease_submission job = fake_orders_submission(id, 1);
+		struct pool_listed_end end = { 1, task, 1, POOL_DONE };
+		const struct fake_orders_order *start;
+
+		snprintf(id, sizeof(id), "%016x", 100 + i);
+		snprintf(task, sizeof(task), "%s.0.0.0", id);
+		job.remaining_ms = BUDGET_MS;
+		fake_orders_submit(fake, &job);
+		while (!strcmp(acknowledge(task), "w1")) {
+			crash("w1");
+			fake_orders_advance(fake, 20);
+		}
+		start = fake_orders_started(fake, task);
+		end.number = start->number;
+		end.number_of_end = (uint64_t)i + 1;
+		fake_orders_answer_hold(fake, start->worker, NULL, 0, &end, 1);
+		ck_assert_uint_eq(fake->answer_count, (size_t)i + 1);
+		ck_assert_int_eq(fake->answers[i].end, LEASE_COMPLETED);
+	}
+}
+END_TEST
+
+/* Whole instances, with neighbours on each worker. */
+
+#define LAST_SEED 12
+
+/*
+ * A leader that is killed before it has seen a task's first crash leaves no
+ * record of it: that crash is one more. On each side of a cut a leader counts
+ * by itself.
+ */
+static const uint32_t unseen_crashes[] = {
+	[FAKE_SITE_KILLED] = 1,
+	[FAKE_SITE_CUT_OFF] = MAX_CRASHES,
+};
+
+static void play(uint64_t seed, struct fake_site_options options)
+{
+	uint32_t unseen = unseen_crashes[options.reaction];
+	struct fake_site_result r;
+
+	options.instances = 5;
+	options.workers = 12;
+	options.length_ms = 20000;
+	options.settle_ms = 40000;
+	options.jobs_per_s = 8;
+	options.deadline_ms = BUDGET_MS;
+	options.deadly_percent = 4;
+	options.seed = seed;
+	fake_site_run(&options, &r);
+	ck_assert_msg(!r.duplicate_runs && !r.repeated_runs && !r.wrong_answers,
+		      "seed %d: %s", (int)seed, r.first_error);
+	ck_assert_uint_gt(r.crashes, 0);
+	ck_assert_msg(r.most_crashes_by_one <= MAX_CRASHES,
+		      "seed %d: %u crashes by one leader", (int)seed,
+		      r.most_crashes_by_one);
+	ck_assert_msg(r.most_crashes <= MAX_CRASHES + unseen,
+		      "seed %d: %u crashes by one task", (int)seed,
+		      r.most_crashes);
+	if (options.react_at == 2)
+		ck_assert_uint_le(r.reacted_crashes, MAX_CRASHES);
+	ck_assert_msg(!r.innocent_failed, "seed %d: %u other jobs failed",
+		      (int)seed, r.innocent_failed);
+	ck_assert_uint_eq(r.unanswered, 0);
+}
+
+#define PLAY(name, ...)                                                        \
+	START_TEST(name)                                                       \
+	{                                                                      \
+		play((uint64_t)_i, (struct fake_site_options){ __VA_ARGS__ }); \
+	}                                                                      \
+	END_TEST
+
+PLAY(test_neighbours_complete, .down_ms = 300)
+PLAY(test_neighbours_complete_without_crashed_workers, .down_ms = 2500)
+PLAY(test_hand_over_after_the_first_crash, .down_ms = 300, .react_at = 1,
+     .react_ms = 400, .reaction = FAKE_SITE_STOPPED)
+PLAY(test_hand_over_after_the_second_crash, .down_ms = 2500, .react_at = 2,
+     .react_ms = 400, .reaction = FAKE_SITE_STOPPED)
+PLAY(test_leader_killed_at_the_first_crash, .down_ms = 300, .react_at = 1,
+     .reaction = FAKE_SITE_KILLED)
+PLAY(test_leader_killed_at_the_second_crash, .down_ms = 300, .react_at = 2,
+     .reaction = FAKE_SITE_KILLED)
+PLAY(test_leader_killed_before_the_worker_is_back, .down_ms = 2500,
+     .react_at = 2, .reaction = FAKE_SITE_KILLED)
+PLAY(test_leader_on_each_side_of_a_cut, .down_ms = 300, .react_at = 1,
+     .reaction = FAKE_SITE_CUT_OFF)
+
+/*
+ * Writes the log lines of all instances to the path in BERGAMOT_LOG, if set.
+ * Needs CK_FORK=no, and CK_RUN_CASE with the name of a play.
+ */
+static void open_log(void)
+{
+	struct log_options options = {
+		.path = getenv("BERGAMOT_LOG"),
+		.level = LOG_LEVEL_INFO,
+		.queue_lines = 1000000,
+	};
+
+	if (options.path && !log_open(&options))
+		printf("%s cannot be written\n", options.path);
+}
+
 int main(void)
 {
-	return RUN_CASE("lease_crash", set_up, tear_down,
-			test_task_crashes_worker_after_worker);
+	const TTest *const plays[] = {
+		test_neighbours_complete,
+		test_neighbours_complete_without_crashed_workers,
+		test_hand_over_after_the_first_crash,
+		test_hand_over_after_the_second_crash,
+		test_leader_killed_at_the_first_crash,
+		test_leader_killed_at_the_second_crash,
+		test_leader_killed_before_the_worker_is_back,
+		test_leader_on_each_side_of_a_cut,
+	};
+	Suite *suite = suite_create("lease_crash");
+	TCase *alone = tcase_create("one leader");
+	int status;
+
+	tcase_add_checked_fixture(alone, set_up, tear_down);
+	tcase_add_test(alone, test_task_crashes_worker_after_worker);
+	tcase_add_test(alone, test_neighbour_of_a_crash_completes);
+	tcase_add_test(alone, test_start_beside_a_suspect);
+	tcase_add_test(alone, test_planned_leave_is_no_crash);
+	tcase_add_test(alone, test_lost_rack_is_no_crash);
+	tcase_add_test(alone, test_lapse_behind_a_cut_is_no_crash);
+	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
+	tcase_add_test(alone, test_worker_that_crashes_by_itself_fails_no_job);
+	suite_add_tcase(suite, alone);
+	for (size_t i = 0; i < sizeof(plays) / sizeof(*plays); i++) {
+		TCase *site = tcase_create(plays[i]->name);
+
+		tcase_set_timeout(site, 60);
+		tcase_add_loop_test(site, plays[i], 1, LAST_SEED + 1);
+		suite_add_tcase(suite, site);
+	}
+	open_log();
+	status = run_suite(suite);
+	log_close();
+	return status;
 }
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1492,6 +1492,141 @@
   assert(message->base.descriptor == &bergamot__worker_answers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bergamot__worker_crash__init
+                     (Bergamot__WorkerCrash         *message)
+{
+  static const Bergamot__WorkerCrash init_value = BERGAMOT__WORKER_CRASH__INIT;
+  *message = init_value;
+}
+size_t bergamot__worker_crash__get_packed_size
+                     (const Bergamot__WorkerCrash *message)
+{
+  assert(message->base.descriptor == &bergamot__worker_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__worker_crash__pack
+                     (const Bergamot__WorkerCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__worker_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__worker_crash__pack_to_buffer
+                     (const Bergamot__WorkerCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__worker_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__WorkerCrash *
+       bergamot__worker_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__WorkerCrash *)
+     protobuf_c_message_unpack (&bergamot__worker_crash__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__worker_crash__free_unpacked
+                     (Bergamot__WorkerCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__worker_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bergamot__task_crashes__init
+                     (Bergamot__TaskCrashes         *message)
+{
+  static const Bergamot__TaskCrashes init_value = BERGAMOT__TASK_CRASHES__INIT;
+  *message = init_value;
+}
+size_t bergamot__task_crashes__get_packed_size
+                     (const Bergamot__TaskCrashes *message)
+{
+  assert(message->base.descriptor == &bergamot__task_crashes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__task_crashes__pack
+                     (const Bergamot__TaskCrashes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__task_crashes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__task_crashes__pack_to_buffer
+                     (const Bergamot__TaskCrashes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__task_crashes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__TaskCrashes *
+       bergamot__task_crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__TaskCrashes *)
+     protobuf_c_message_unpack (&bergamot__task_crashes__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__task_crashes__free_unpacked
+                     (Bergamot__TaskCrashes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__task_crashes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bergamot__crash_records__init
+                     (Bergamot__CrashRecords         *message)
+{
+  static const Bergamot__CrashRecords init_value = BERGAMOT__CRASH_RECORDS__INIT;
+  *message = init_value;
+}
+size_t bergamot__crash_records__get_packed_size
+                     (const Bergamot__CrashRecords *message)
+{
+  assert(message->base.descriptor == &bergamot__crash_records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__crash_records__pack
+                     (const Bergamot__CrashRecords *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__crash_records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__crash_records__pack_to_buffer
+                     (const Bergamot__CrashRecords *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__crash_records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__CrashRecords *
+       bergamot__crash_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__CrashRecords *)
+     protobuf_c_message_unpack (&bergamot__crash_records__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__crash_records__free_unpacked
+                     (Bergamot__CrashRecords *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__crash_records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bergamot__peer__init
                      (Bergamot__Peer         *message)
 {
@@ -4434,7 +4569,199 @@
   (ProtobufCMessageInit) bergamot__worker_answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[18] =
+static const ProtobufCFieldDescriptor bergamot__worker_crash__field_descriptors[6] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdrawn",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, withdrawn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__worker_crash__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = alone */
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = confirmed */
+  5,   /* field[5] = withdrawn */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange bergamot__worker_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bergamot__worker_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.WorkerCrash",
+  "WorkerCrash",
+  "Bergamot__WorkerCrash",
+  "bergamot",
+  sizeof(Bergamot__WorkerCrash),
+  6,
+  bergamot__worker_crash__field_descriptors,
+  bergamot__worker_crash__field_indices_by_name,
+  1,  bergamot__worker_crash__number_ranges,
+  (ProtobufCMessageInit) bergamot__worker_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__task_crashes__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__TaskCrashes, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__TaskCrashes, n_crashes),
+    offsetof(Bergamot__TaskCrashes, crashes),
+    &bergamot__worker_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__task_crashes__field_indices_by_name[] = {
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange bergamot__task_crashes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bergamot__task_crashes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.TaskCrashes",
+  "TaskCrashes",
+  "Bergamot__TaskCrashes",
+  "bergamot",
+  sizeof(Bergamot__TaskCrashes),
+  2,
+  bergamot__task_crashes__field_descriptors,
+  bergamot__task_crashes__field_indices_by_name,
+  1,  bergamot__task_crashes__number_ranges,
+  (ProtobufCMessageInit) bergamot__task_crashes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__crash_records__field_descriptors[1] =
+{
+  {
+    "tasks",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__CrashRecords, n_tasks),
+    offsetof(Bergamot__CrashRecords, tasks),
+    &bergamot__task_crashes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__crash_records__field_indices_by_name[] = {
+  0,   /* field[0] = tasks */
+};
+static const ProtobufCIntRange bergamot__crash_records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bergamot__crash_records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.CrashRecords",
+  "CrashRecords",
+  "Bergamot__CrashRecords",
+  "bergamot",
+  sizeof(Bergamot__CrashRecords),
+  1,
+  bergamot__crash_records__field_descriptors,
+  bergamot__crash_records__field_indices_by_name,
+  1,  bergamot__crash_records__number_ranges,
+  (ProtobufCMessageInit) bergamot__crash_records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[19] =
 {
   {
     "hello",
@@ -4652,10 +4979,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_records",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__Peer, body_case),
+    offsetof(Bergamot__Peer, crash_records),
+    &bergamot__crash_records__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__peer__field_indices_by_name[] = {
   11,   /* field[11] = config_ask */
   10,   /* field[10] = config_offer */
+  18,   /* field[18] = crash_records */
   7,   /* field[7] = delegate */
   9,   /* field[9] = delegate_stop */
   8,   /* field[8] = delegated_result */
@@ -4673,10 +5013,11 @@
   17,   /* field[17] = worker_answers */
   16,   /* field[16] = worker_orders */
 };
-static const ProtobufCIntRange bergamot__peer__number_ranges[1 + 1] =
+static const ProtobufCIntRange bergamot__peer__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 20, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor bergamot__peer__descriptor =
 {
@@ -4686,10 +5027,10 @@
   "Bergamot__Peer",
   "bergamot",
   sizeof(Bergamot__Peer),
-  18,
+  19,
   bergamot__peer__field_descriptors,
   bergamot__peer__field_indices_by_name,
-  1,  bergamot__peer__number_ranges,
+  2,  bergamot__peer__number_ranges,
   (ProtobufCMessageInit) bergamot__peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -48,6 +48,9 @@
 typedef struct Bergamot__ListedEnd Bergamot__ListedEnd;
 typedef struct Bergamot__WorkerAnswer Bergamot__WorkerAnswer;
 typedef struct Bergamot__WorkerAnswers Bergamot__WorkerAnswers;
+typedef struct Bergamot__WorkerCrash Bergamot__WorkerCrash;
+typedef struct Bergamot__TaskCrashes Bergamot__TaskCrashes;
+typedef struct Bergamot__CrashRecords Bergamot__CrashRecords;
 typedef struct Bergamot__Peer Bergamot__Peer;
 
 
@@ -710,6 +713,69 @@
     , 0,NULL }
 
 
+/*
+ * A worker that went while it ran a task.
+ */
+struct  Bergamot__WorkerCrash
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the worker's id.
+   */
+  uint64_t worker;
+  /*
+   * Start time of the process that went, on the worker's clock.
+   */
+  uint64_t born_ms;
+  /*
+   * The worker ran nothing else.
+   */
+  protobuf_c_boolean alone;
+  /*
+   * Unset if the worker may still run, out of reach.
+   */
+  protobuf_c_boolean confirmed;
+  /*
+   * Time since the crash was noted.
+   */
+  uint32_t age_ms;
+  /*
+   * The run has ended, and the worker did not crash.
+   */
+  protobuf_c_boolean withdrawn;
+};
+#define BERGAMOT__WORKER_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__worker_crash__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Bergamot__TaskCrashes
+{
+  ProtobufCMessage base;
+  char *task;
+  size_t n_crashes;
+  Bergamot__WorkerCrash **crashes;
+};
+#define BERGAMOT__TASK_CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__task_crashes__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Crashes under tasks, from the leader as it notes them, and from each member
+ * over a new link.
+ */
+struct  Bergamot__CrashRecords
+{
+  ProtobufCMessage base;
+  size_t n_tasks;
+  Bergamot__TaskCrashes **tasks;
+};
+#define BERGAMOT__CRASH_RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__crash_records__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   BERGAMOT__PEER__BODY__NOT_SET = 0,
   BERGAMOT__PEER__BODY_HELLO = 1,
@@ -729,7 +795,8 @@
   BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL = 15,
   BERGAMOT__PEER__BODY_LEADER_BEAT = 16,
   BERGAMOT__PEER__BODY_WORKER_ORDERS = 17,
-  BERGAMOT__PEER__BODY_WORKER_ANSWERS = 18
+  BERGAMOT__PEER__BODY_WORKER_ANSWERS = 18,
+  BERGAMOT__PEER__BODY_CRASH_RECORDS = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BERGAMOT__PEER__BODY__CASE)
 } Bergamot__Peer__BodyCase;
 
@@ -756,6 +823,7 @@
     Bergamot__LeaderBeat *leader_beat;
     Bergamot__WorkerOrders *worker_orders;
     Bergamot__WorkerAnswers *worker_answers;
+    Bergamot__CrashRecords *crash_records;
   };
 };
 #define BERGAMOT__PEER__INIT \
@@ -1390,6 +1458,63 @@
 void   bergamot__worker_answers__free_unpacked
                      (Bergamot__WorkerAnswers *message,
                       ProtobufCAllocator *allocator);
+/* Bergamot__WorkerCrash methods */
+void   bergamot__worker_crash__init
+                     (Bergamot__WorkerCrash         *message);
+size_t bergamot__worker_crash__get_packed_size
+                     (const Bergamot__WorkerCrash   *message);
+size_t bergamot__worker_crash__pack
+                     (const Bergamot__WorkerCrash   *message,
+                      uint8_t             *out);
+size_t bergamot__worker_crash__pack_to_buffer
+                     (const Bergamot__WorkerCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__WorkerCrash *
+       bergamot__worker_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__worker_crash__free_unpacked
+                     (Bergamot__WorkerCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Bergamot__TaskCrashes methods */
+void   bergamot__task_crashes__init
+                     (Bergamot__TaskCrashes         *message);
+size_t bergamot__task_crashes__get_packed_size
+                     (const Bergamot__TaskCrashes   *message);
+size_t bergamot__task_crashes__pack
+                     (const Bergamot__TaskCrashes   *message,
+                      uint8_t             *out);
+size_t bergamot__task_crashes__pack_to_buffer
+                     (const Bergamot__TaskCrashes   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__TaskCrashes *
+       bergamot__task_crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__task_crashes__free_unpacked
+                     (Bergamot__TaskCrashes *message,
+                      ProtobufCAllocator *allocator);
+/* Bergamot__CrashRecords methods */
+void   bergamot__crash_records__init
+                     (Bergamot__CrashRecords         *message);
+size_t bergamot__crash_records__get_packed_size
+                     (const Bergamot__CrashRecords   *message);
+size_t bergamot__crash_records__pack
+                     (const Bergamot__CrashRecords   *message,
+                      uint8_t             *out);
+size_t bergamot__crash_records__pack_to_buffer
+                     (const Bergamot__CrashRecords   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__CrashRecords *
+       bergamot__crash_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__crash_records__free_unpacked
+                     (Bergamot__CrashRecords *message,
+                      ProtobufCAllocator *allocator);
 /* Bergamot__Peer methods */
 void   bergamot__peer__init
                      (Bergamot__Peer         *message);
@@ -1510,6 +1635,15 @@
 typedef void (*Bergamot__WorkerAnswers_Closure)
                  (const Bergamot__WorkerAnswers *message,
                   void *closure_data);
+typedef void (*Bergamot__WorkerCrash_Closure)
+                 (const Bergamot__WorkerCrash *message,
+                  void *closure_data);
+typedef void (*Bergamot__TaskCrashes_Closure)
+                 (const Bergamot__TaskCrashes *message,
+                  void *closure_data);
+typedef void (*Bergamot__CrashRecords_Closure)
+                 (const Bergamot__CrashRecords *message,
+                  void *closure_data);
 typedef void (*Bergamot__Peer_Closure)
                  (const Bergamot__Peer *message,
                   void *closure_data);
@@ -1556,6 +1690,9 @@
 extern const ProtobufCMessageDescriptor bergamot__listed_end__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__worker_answer__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__worker_answers__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__worker_crash__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__task_crashes__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__crash_records__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__peer__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -273,6 +273,37 @@
 	}
 }
 
+static void fill_crashes(struct input *in, Bergamot__CrashRecords *records)
+{
+	records->n_tasks = next_byte(in) % MAX_ROWS;
+	records->tasks = talloc_array(mem, Bergamot__TaskCrashes *, MAX_ROWS);
+	for (size_t i = 0; i < records->n_tasks; i++) {
+		Bergamot__TaskCrashes *row = talloc(mem, Bergamot__TaskCrashes);
+
+		bergamot__task_crashes__init(row);
+		row->task = next_text(in);
+		row->n_crashes = next_byte(in) % (MAX_ROWS + 2);
+		row->crashes = talloc_array(mem, Bergamot__WorkerCrash *,
+					    MAX_ROWS + 2);
+		for (size_t c = 0; c < row->n_crashes; c++) {
+			Bergamot__WorkerCrash *crash =
+				talloc(mem, Bergamot__WorkerCrash);
+			uint8_t flags = next_byte(in);
+
+			bergamot__worker_crash__init(crash);
+			crash->worker = flags & 8 ? crash_worker_key("w1")
+						  : next_number(in);
+			crash->born_ms = next_number(in);
+			crash->alone = flags & 1;
+			crash->confirmed = flags & 2;
+			crash->withdrawn = flags & 4;
+			crash->age_ms = (uint32_t)next_number(in);
+			row->crashes[c] = crash;
+		}
+		records->tasks[i] = row;
+	}
+}
+
 static void receive(struct input *in, uint8_t kind)
 {
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -282,6 +313,7 @@
 	Bergamot__QueueJobCancel cancel = BERGAMOT__QUEUE_JOB_CANCEL__INIT;
 	Bergamot__WorkerOrders orders = BERGAMOT__WORKER_ORDERS__INIT;
 	Bergamot__WorkerAnswers answers = BERGAMOT__WORKER_ANSWERS__INIT;
+	Bergamot__CrashRecords crashes = BERGAMOT__CRASH_RECORDS__INIT;
 	uint64_t from = 1 + next_byte(in) % MEMBERS;
 
 	switch (kind) {
@@ -311,6 +343,11 @@
 		peer.body_case = BERGAMOT__PEER__BODY_WORKER_ORDERS;
 		peer.worker_orders = &orders;
 		break;
+	case 9:
+		fill_crashes(in, &crashes);
+		peer.body_case = BERGAMOT__PEER__BODY_CRASH_RECORDS;
+		peer.crash_records = &crashes;
+		break;
 	default:
 		fill_answers(in, &answers);
 		peer.body_case = BERGAMOT__PEER__BODY_WORKER_ANSWERS;
@@ -419,9 +456,9 @@
 	if (next_byte(&in) & 1)
 		advance(4000); /* it leads then */
 	while (in.len) {
-		uint8_t kind = next_byte(&in) % 9;
+		uint8_t kind = next_byte(&in) % 10;
 
-		if (kind < 6)
+		if (kind < 6 || kind == 9)
 			receive(&in, kind);
 		else if (kind == 6)
 			submit(&in);
