core: crashes are confirmed without a walk through all workers

Cause: each unconfirmed crash looked for its worker among all workers in each tick, and the tasks of all records were judged in each; after a hand-over there are as many as open runs. A task whose unconfirmed crashes had expired waited until its deadline. A rack mate that had restarted since counted as alive after 1 s. Change: workers are found by key; a task is judged when its record changes, and before it starts; a mate that has restarted since is no sign of life.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -854,7 +854,7 @@
 		struct pool_worker *worker;
 
 		if (task->state != TASK_WAITING ||
-		    task->verdict > CRASH_SUSPECT)
+		    !lease_may_start(dispatch, task))
 			continue;
 		request.avoid = task->avoid;
 #ifndef BREAK_TRIAL
--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -38,9 +38,10 @@
 {
 	struct task *task = lease_find_task(dispatch, name);
 
-	if (task)
-		task->verdict =
-			crash_judge(crash_find(dispatch->crashes, name));
+	if (!task)
+		return;
+	task->verdict = crash_judge(crash_find(dispatch->crashes, name));
+	dispatch->has_guilty |= task->verdict == CRASH_GUILTY;
 }
 
 static void note(struct lease_dispatch *dispatch, const char *name,
@@ -214,10 +215,22 @@
 	return true;
 }
 
+bool lease_may_start(struct lease_dispatch *dispatch, struct task *task)
+{
+	char name[STEP_JOB_TASK_BYTES];
+
+	if (task->verdict <= CRASH_SUSPECT)
+		return true;
+	lease_name_task(name, task);
+	task->verdict = crash_judge(crash_find(dispatch->crashes, name));
+	return task->verdict <= CRASH_SUSPECT;
+}
+
 void lease_apply_crashes(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
 	const struct crash_record *record = crash_first(dispatch->crashes);
 
+	dispatch->has_guilty = false;
 	for (; record; record = record->hh.next) {
 		struct task *task = lease_find_task(dispatch, record->task);
 
@@ -233,17 +246,6 @@
 
 /* Confirmation */
 
-static const struct pool_worker *find_worker(struct lease_dispatch *dispatch,
-					     uint64_t key)
-{
-	const struct pool_worker *worker;
-
-	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry)
-		if (worker->key == key)
-			return worker;
-	return NULL;
-}
-
 enum fate { FATE_UNKNOWN, FATE_CRASHED, FATE_LIVES };
 
 /* The worker has restarted, by itself or with its rack. */
@@ -253,7 +255,7 @@
 {
 	if (worker->draining)
 		return FATE_LIVES;
-	if (pool_rack_state(dispatch->pool, worker, crash->noted_ms, now_ms) !=
+	if (pool_rack_state(dispatch->pool, worker, crash->noted_ms) !=
 	    POOL_RACK_LOST)
 		return FATE_CRASHED;
 	return now_ms - crash->noted_ms > RACK_ANSWERS_MS ? FATE_LIVES
@@ -263,7 +265,8 @@
 static enum fate find_fate(struct lease_dispatch *dispatch,
 			   const struct crash_note *crash, uint64_t now_ms)
 {
-	const struct pool_worker *worker = find_worker(dispatch, crash->worker);
+	const struct pool_worker *worker =
+		pool_find_by_key(dispatch->pool, crash->worker);
 
 	if (worker && worker->born_ms > crash->born_ms)
 		return find_rack_fate(dispatch, worker, crash, now_ms);
@@ -281,6 +284,7 @@
 {
 	char name[STEP_JOB_TASK_BYTES];
 	uint32_t count = record->count;
+	bool has_changed = false;
 
 	memcpy(name, record->task, sizeof(name));
 	for (uint32_t i = count; i-- > 0;) {
@@ -289,6 +293,7 @@
 					 ? FATE_UNKNOWN
 					 : find_fate(dispatch, crash, now_ms);
 
+		has_changed |= fate != FATE_UNKNOWN;
 		if (fate == FATE_CRASHED) {
 			crash->is_confirmed = true;
 			crash_mark_unsent(dispatch->crashes, record);
@@ -299,7 +304,8 @@
 				break; /* the record is freed */
 		}
 	}
-	judge_task(dispatch, name);
+	if (has_changed)
+		judge_task(dispatch, name);
 }
 
 static void settle(struct lease_dispatch *dispatch, uint64_t now_ms)
@@ -421,7 +427,8 @@
 		return;
 	if (crash_first(dispatch->crashes)) {
 		settle(dispatch, now_ms);
-		lease_apply_crashes(dispatch, now_ms);
+		if (dispatch->has_guilty)
+			lease_apply_crashes(dispatch, now_ms);
 	}
 	if (dispatch->reserved)
 		free_reserved(dispatch, now_ms);
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -109,6 +109,7 @@
 	uint64_t next_shed_ms;
 	struct crash_records *crashes;
 	struct crash_records *ahead; /* not told to the next leader yet */
+	bool has_guilty; /* a task whose job is to be given up */
 	uint64_t next_expire_ms; /* of crashes */
 	uint32_t reserved; /* workers reserved for suspects */
 	uint32_t unplaced_suspects; /* of the last round of starts */
@@ -144,6 +145,12 @@
 bool lease_judge_job(struct lease_dispatch *dispatch, struct lease_job *job,
 		     uint64_t now_ms);
 
+/*
+ * Returns false while too many workers may have crashed under a task. Judges it
+ * anew: unconfirmed crashes expire.
+ */
+bool lease_may_start(struct lease_dispatch *dispatch, struct task *task);
+
 /*
  * Returns a worker that runs nothing else, for a suspect; NULL if none is free.
  * Reserves it, or one that will be free soon.
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -20,6 +20,7 @@
 static int destroy(struct lease_pool *pool)
 {
 	HASH_CLEAR(hh, pool->by_id);
+	HASH_CLEAR(hh_key, pool->by_key);
 	HASH_CLEAR(hh, pool->by_token);
 	HASH_CLEAR(hh, pool->found);
 	return 0;
@@ -72,16 +73,16 @@
 	return true;
 }
 
-static bool was_just_lost(const struct pool_worker *worker, uint64_t now_ms)
+static bool was_lost(const struct pool_worker *worker, uint64_t since_ms)
 {
 	return worker->failures ||
 	       (worker->restarted_ms &&
-		now_ms - worker->restarted_ms < RACK_RESTART_MS);
+		worker->restarted_ms + RACK_RESTART_MS > since_ms);
 }
 
 enum pool_rack pool_rack_state(const struct lease_pool *pool,
 			       const struct pool_worker *worker,
-			       uint64_t since_ms, uint64_t now_ms)
+			       uint64_t since_ms)
 {
 	enum pool_rack state = POOL_RACK_UNKNOWN;
 	const struct pool_worker *mate;
@@ -92,7 +93,7 @@
 	TAILQ_FOREACH(mate, &pool->workers, entry) {
 		if (mate->draining || !is_rack_mate(mate, worker))
 			continue;
-		if (was_just_lost(mate, now_ms))
+		if (was_lost(mate, since_ms))
 			state = POOL_RACK_LOST;
 		else if (mate->state == POOL_HELD &&
 			 mate->answered_ms >= since_ms)
@@ -128,7 +129,7 @@
 
 	if (!worker->run_count || !worker->born_ms || worker->draining)
 		return false;
-	rack = pool_rack_state(pool, worker, since_ms, now_ms);
+	rack = pool_rack_state(pool, worker, since_ms);
 	if (!is_restarted && rack == POOL_RACK_LOST)
 		return false;
 	is_confirmed = is_restarted && rack != POOL_RACK_LOST;
@@ -139,6 +140,15 @@
 	return is_confirmed;
 }
 
+const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
+					   uint64_t key)
+{
+	struct pool_worker *worker;
+
+	HASH_FIND(hh_key, pool->by_key, &key, sizeof(key), worker);
+	return worker;
+}
+
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
@@ -217,6 +227,8 @@
 {
 	TAILQ_REMOVE(&pool->workers, worker, entry);
 	HASH_REMOVE(pool->by_id, worker);
+	if (pool->by_key)
+		HASH_DELETE(hh_key, pool->by_key, worker);
 	remove_slot(pool, worker->slot);
 	talloc_free(worker);
 }
@@ -232,6 +244,7 @@
 	add_slot(pool, worker);
 	HASH_ADD_KEYPTR(hh, pool->by_id, worker->id, strlen(worker->id),
 			worker);
+	HASH_ADD(hh_key, pool->by_key, key, sizeof(worker->key), worker);
 	TAILQ_INSERT_TAIL(&pool->workers, worker, entry);
 	return worker;
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -71,6 +71,7 @@
 
 struct pool_worker {
 	UT_hash_handle hh;
+	UT_hash_handle hh_key;
 	TAILQ_ENTRY(pool_worker) entry;
 	char *id;
 	uint64_t key; /* crash_worker_key of its id */
@@ -383,6 +384,10 @@
  */
 void pool_tick(struct lease_pool *pool, uint64_t now_ms);
 
+/* Returns the worker with that key; NULL if there is none. */
+const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
+					   uint64_t key);
+
 const struct pool_worker_list *pool_workers(const struct lease_pool *pool);
 
 /* Returns the slots of all workers, in no order, and their number. */
@@ -414,7 +419,7 @@
 /* Returns how the other workers of a worker's rack have fared since a time. */
 enum pool_rack pool_rack_state(const struct lease_pool *pool,
 			       const struct pool_worker *worker,
-			       uint64_t since_ms, uint64_t now_ms);
+			       uint64_t since_ms);
 
 /* Reserves a worker: only tasks that are tried alone start on it. */
 void pool_reserve_worker(struct lease_pool *pool, struct pool_worker *worker,
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -36,6 +36,7 @@
 	struct pool_options options;
 	const struct pool_ports *ports;
 	struct pool_worker *by_id;
+	struct pool_worker *by_key;
 	struct pool_worker_list workers;
 	struct pool_run *by_token;
 	struct found_job *found;
