core: a hold that was not sent renews no lease

In a test, a worker at whose address nothing listens keeps its run for good: the last retries are as far apart as a lease lasts. Change: such a hold gives its renewal back, unless a later call has renewed the lease. Why it is safe: a call without a connection has reached no worker; a start without one is closed as not run already. Test: test_lease_of_a_lost_worker_lapses failed before.

--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -96,6 +96,8 @@
 	uint64_t clock_ms; /* worker's clock at clock_at_ms; 0: unknown */
 	uint64_t clock_at_ms; /* on our clock */
 	uint64_t lease_until_ms; /* runs we started have ended by then */
+	uint64_t hold_lease_ms; /* lease_until_ms by the last hold; 0: none */
+	uint64_t former_lease_ms; /* lease_until_ms before that hold */
 	uint32_t failures; /* unanswered holds in a row */
 	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
 	uint64_t lost_ms; /* time of the first of them; 0: answers holds */
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -98,12 +98,15 @@
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
 	};
 
+	worker->hold_lease_ms = 0;
 	worker->hold_renews =
 		worker->clock_ms && worker->run_count && pool_may_renew(worker);
 	if (worker->hold_renews) {
 		call.deadline_ms = pool_worker_clock(worker, now_ms) +
 				   pool->options.lease_ms;
+		worker->former_lease_ms = worker->lease_until_ms;
 		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
+		worker->hold_lease_ms = worker->lease_until_ms;
 	}
 	if (call.ends_read > worker->ends_acked)
 		worker->ends_acked = call.ends_read;
@@ -459,6 +462,15 @@
 	worker->state = POOL_HELD;
 }
 
+/* A hold that was not sent has renewed nothing. */
+static void restore_lease(struct pool_worker *worker)
+{
+	if (worker->hold_lease_ms &&
+	    worker->lease_until_ms == worker->hold_lease_ms)
+		worker->lease_until_ms = worker->former_lease_ms;
+	worker->hold_lease_ms = 0;
+}
+
 void pool_hold_answered(struct lease_pool *pool, const char *id,
 			uint64_t serial, const struct pool_reply *reply,
 			const struct pool_lists *lists, uint64_t now_ms)
@@ -479,6 +491,8 @@
 		pool_mark_foreign(pool, worker, now_ms);
 	else
 		pool_hold_failed(worker, reply->answer, now_ms);
+	if (reply->answer == POOL_NOT_SENT)
+		restore_lease(worker);
 	pool_send_due_hold(pool, worker, now_ms);
 }
 
--- a/packages/core/tests/fake_orders.c
+++ b/packages/core/tests/fake_orders.c
@@ -139,12 +139,14 @@
 		fake_orders_answer_hold(fake, worker->id, NULL, 0, NULL, 0);
 }
 
-void fake_orders_lose_hold(struct fake_orders *fake, const char *worker)
+static void fail_hold(struct fake_orders *fake, const char *worker,
+		      enum pool_answer answer)
 {
-	struct pool_reply none = { .answer = POOL_NO_ANSWER };
+	struct pool_reply none = { .answer = answer };
 
 	for (size_t i = fake->hold_count; i-- > 0;) {
-		struct fake_orders_hold *hold = &fake->holds[i];
+		struct fake_orders_hold *hold =
+			&fake->holds[i % FAKE_ORDERS_MAX];
 
 		if (hold->answered || strcmp(hold->worker, worker) != 0)
 			continue;
@@ -155,6 +157,16 @@
 	}
 }
 
+void fake_orders_lose_hold(struct fake_orders *fake, const char *worker)
+{
+	fail_hold(fake, worker, POOL_NO_ANSWER);
+}
+
+void fake_orders_refuse_hold(struct fake_orders *fake, const char *worker)
+{
+	fail_hold(fake, worker, POOL_NOT_SENT);
+}
+
 void fake_orders_answer_start(struct fake_orders *fake,
 			      const struct fake_orders_order *start,
 			      enum pool_answer answer)
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -273,6 +273,24 @@
 }
 END_TEST
 
+/* Nothing listens at the worker's address: holds are not sent, nor renewed. */
+START_TEST(test_lease_of_a_lost_worker_lapses)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	char worker[32];
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	for (int i = 0; i < FAKE_ORDERS_LEASE_MS + 100; i += 20) {
+		fake_orders_refuse_hold(fake, worker);
+		answer_mates(worker);
+		fake_orders_advance(fake, 20);
+	}
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
 /* A job that crashed workers under the former leader fails at once. */
 START_TEST(test_resent_job_of_a_guilty_task)
 {
@@ -433,6 +451,7 @@
 	tcase_add_test(alone, test_planned_leave_is_no_crash);
 	tcase_add_test(alone, test_lost_rack_is_no_crash);
 	tcase_add_test(alone, test_lapse_behind_a_cut_is_no_crash);
+	tcase_add_test(alone, test_lease_of_a_lost_worker_lapses);
 	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
 	tcase_add_test(alone, test_worker_that_crashes_by_itself_fails_no_job);
 	suite_add_tcase(suite, alone);
