core: a crash among silent workers counts once it shows

Cause: a lapse of a worker that fell silent with others of its rack was taken for a cut and forgotten; if the worker had crashed under a task all the same, the task had one start more. Change: such a crash is kept aside and makes no task a suspect; it counts once the worker has restarted while its rack lives, and is dropped when the worker answers as the same process.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -1111,7 +1111,7 @@
 		.closed = on_run_closed,
 		.found_run = adopt_run,
 		.found_done = adopt_done,
-		.worker_crashed = lease_on_worker_crashed,
+		.worker_gone = lease_on_worker_gone,
 		.ctx = dispatch,
 	};
 
@@ -1120,6 +1120,7 @@
 	dispatch->pool = pool_create(dispatch, &pool);
 	dispatch->crashes = crash_records_create(dispatch);
 	dispatch->ahead = crash_records_create(dispatch);
+	dispatch->unlikely = crash_records_create(dispatch);
 	talloc_set_destructor(dispatch, destroy);
 	return dispatch;
 }
--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -83,26 +83,33 @@
 	       run->answered_ms;
 }
 
-void lease_on_worker_crashed(void *ctx, struct pool_worker *worker,
-			     bool is_confirmed, uint64_t now_ms)
+void lease_on_worker_gone(void *ctx, struct pool_worker *worker,
+			  enum pool_crash how, uint64_t now_ms)
 {
+	static const char *const words[] = {
+		[POOL_CRASH_CERTAIN] = "crashed",
+		[POOL_CRASH_LIKELY] = "crashed or out of reach",
+		[POOL_CRASH_UNLIKELY] = "silent with others of its rack",
+	};
 	struct lease_dispatch *dispatch = ctx;
 	const struct pool_run *run;
 
 	log_warning(LOG_TARGET, "worker %s: went with %u runs, %s", worker->id,
-		    worker->run_count,
-		    is_confirmed ? "crashed" : "not known whether it crashed");
-	counter_add(COUNTER_WORKERS_CRASHED, 1);
+		    worker->run_count, words[how]);
+	counter_add(COUNTER_WORKERS_CRASHED, how != POOL_CRASH_UNLIKELY);
 	LIST_FOREACH(run, &worker->runs, in_worker) {
 		struct crash_note crash = {
 			.worker = worker->key,
 			.born_ms = worker->born_ms,
 			.noted_ms = now_ms,
 			.is_alone = was_alone(run),
-			.is_confirmed = is_confirmed,
+			.is_confirmed = how == POOL_CRASH_CERTAIN,
 		};
 
-		note(dispatch, run->name, &crash);
+		if (how == POOL_CRASH_UNLIKELY)
+			crash_put(dispatch->unlikely, run->name, &crash);
+		else
+			note(dispatch, run->name, &crash);
 	}
 	unreserve(dispatch, worker);
 }
@@ -319,6 +326,26 @@
 	}
 }
 
+/* Notes the unlikely crashes that have turned out to be crashes. */
+static void settle_unlikely(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	struct crash_record *record = crash_first(dispatch->unlikely);
+	struct crash_record *next;
+
+	for (; record; record = next) {
+		struct crash_note crash = record->crashes[0];
+		enum fate fate = find_fate(dispatch, &crash, now_ms);
+
+		next = record->hh.next;
+		if (fate == FATE_UNKNOWN)
+			continue;
+		crash.is_confirmed = true;
+		if (fate == FATE_CRASHED)
+			note(dispatch, record->task, &crash);
+		crash_withdraw(dispatch->unlikely, record, 0);
+	}
+}
+
 /* Trials */
 
 static bool may_run(const struct place_request *request,
@@ -421,10 +448,12 @@
 {
 	if (dispatch->next_expire_ms <= now_ms) {
 		crash_expire(dispatch->crashes, now_ms);
+		crash_expire(dispatch->unlikely, now_ms);
 		dispatch->next_expire_ms = now_ms + EXPIRE_INTERVAL_MS;
 	}
 	if (!pool_leads(dispatch->pool))
 		return;
+	settle_unlikely(dispatch, now_ms);
 	if (crash_first(dispatch->crashes)) {
 		settle(dispatch, now_ms);
 		if (dispatch->has_guilty)
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -109,6 +109,7 @@
 	uint64_t next_shed_ms;
 	struct crash_records *crashes;
 	struct crash_records *ahead; /* not told to the next leader yet */
+	struct crash_records *unlikely; /* of workers silent with their rack */
 	bool has_guilty; /* a task whose job is to be given up */
 	uint64_t next_expire_ms; /* of crashes */
 	uint32_t reserved; /* workers reserved for suspects */
@@ -134,9 +135,9 @@
 
 /* lease_dispatch_crash.c */
 
-/* The pool's worker_crashed option: notes the crash for each run there. */
-void lease_on_worker_crashed(void *ctx, struct pool_worker *worker,
-			     bool is_confirmed, uint64_t now_ms);
+/* The pool's worker_gone option: notes for each run how the worker went. */
+void lease_on_worker_gone(void *ctx, struct pool_worker *worker,
+			  enum pool_crash crash, uint64_t now_ms);
 
 /*
  * Judges the tasks of a job by the records. Returns false if the job has ended:
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -117,27 +117,27 @@
 
 /*
  * Reports a worker that restarted or fell silent under its runs, unless it left
- * as planned or fell silent with its rack. Returns true if it has crashed.
+ * as planned. Returns true if it has crashed.
  */
-static bool note_crash(struct lease_pool *pool, struct pool_worker *worker,
-		       bool is_restarted, uint64_t now_ms)
+static bool note_gone(struct lease_pool *pool, struct pool_worker *worker,
+		      bool is_restarted, uint64_t now_ms)
 {
 	uint64_t since_ms =
 		worker->lost_ms ? worker->lost_ms : worker->answered_ms;
+	enum pool_crash crash = POOL_CRASH_LIKELY;
 	enum pool_rack rack;
-	bool is_confirmed;
 
 	if (!worker->run_count || !worker->born_ms || worker->draining)
 		return false;
 	rack = pool_rack_state(pool, worker, since_ms);
-	if (!is_restarted && rack == POOL_RACK_LOST)
-		return false;
-	is_confirmed = is_restarted && rack != POOL_RACK_LOST;
-	pool->options.worker_crashed(pool->options.ctx, worker, is_confirmed,
-				     now_ms);
-	if (!is_confirmed)
+	if (is_restarted && rack != POOL_RACK_LOST)
+		crash = POOL_CRASH_CERTAIN;
+	else if (!is_restarted && rack == POOL_RACK_LOST)
+		crash = POOL_CRASH_UNLIKELY;
+	pool->options.worker_gone(pool->options.ctx, worker, crash, now_ms);
+	if (crash == POOL_CRASH_LIKELY)
 		probe_rack_mates(pool, worker, now_ms);
-	return is_confirmed;
+	return crash == POOL_CRASH_CERTAIN;
 }
 
 const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
@@ -152,9 +152,8 @@
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
-	enum pool_end how = note_crash(pool, worker, true, now_ms)
-				    ? POOL_CRASHED
-				    : POOL_LAPSED;
+	enum pool_end how = note_gone(pool, worker, true, now_ms) ? POOL_CRASHED
+								  : POOL_LAPSED;
 
 	pool_close_previous_runs(pool, worker, how, now_ms);
 	worker->restarted_ms = now_ms;
@@ -543,7 +542,7 @@
 			    worker->id, worker->run_count,
 			    now_ms - worker->answered_ms);
 		if (worker->failures)
-			note_crash(pool, worker, false, now_ms);
+			note_gone(pool, worker, false, now_ms);
 		pool_close_all(pool, worker, now_ms);
 	}
 	pool_send_due_hold(pool, worker, now_ms);
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -240,6 +240,14 @@
 	size_t ended_count;
 };
 
+/* Whether a worker that has gone has crashed by itself. */
+enum pool_crash {
+	POOL_CRASH_CERTAIN, /* it has restarted, and not with its rack */
+	/* It fell silent alone, or restarted when its rack may be lost. */
+	POOL_CRASH_LIKELY,
+	POOL_CRASH_UNLIKELY, /* others of its rack fell silent, too */
+};
+
 struct pool_options {
 	const struct pool_ports *ports;
 	uint32_t lease_ms; /* longest lease of a worker */
@@ -259,13 +267,9 @@
 	/* The same for a run that was found to have ended as POOL_DONE. */
 	bool (*found_done)(void *ctx, const char *job, const char *task,
 			   uint64_t now_ms);
-	/*
-	 * Called for a worker that has gone, before its runs are closed.
-	 * is_confirmed is unset if its rack may have been lost with it, or if
-	 * it may still run out of reach, its lease having lapsed.
-	 */
-	void (*worker_crashed)(void *ctx, struct pool_worker *worker,
-			       bool is_confirmed, uint64_t now_ms);
+	/* Called for a worker that has gone, before its runs are closed. */
+	void (*worker_gone)(void *ctx, struct pool_worker *worker,
+			    enum pool_crash crash, uint64_t now_ms);
 	void *ctx;
 };
 
