core: a second worker that falls silent under a task counts at once

Cause: a crash that is unlikely by the rack's state counted for nothing meanwhile, also for a task that was a suspect already. Change: it is kept aside only for the first worker that goes under a task. Result: test_task_goes_with_silent_workers failed before (a third start); 130 of 130 checks of test_lease_crash pass.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -83,6 +83,25 @@
 	       run->answered_ms;
 }
 
+static bool has_gone_before(const struct lease_dispatch *dispatch,
+			    const char *task)
+{
+	return crash_find(dispatch->crashes, task) ||
+	       crash_find(dispatch->unlikely, task);
+}
+
+/* Counts a task's unlikely crash, now that another worker has gone under it. */
+static void note_unlikely(struct lease_dispatch *dispatch, const char *task)
+{
+	const struct crash_record *record =
+		crash_find(dispatch->unlikely, task);
+
+	if (!record)
+		return;
+	note(dispatch, task, &record->crashes[0]);
+	crash_forget(dispatch->unlikely, task);
+}
+
 void lease_on_worker_gone(void *ctx, struct pool_worker *worker,
 			  enum pool_crash how, uint64_t now_ms)
 {
@@ -106,10 +125,13 @@
 			.is_confirmed = how == POOL_CRASH_CERTAIN,
 		};
 
-		if (how == POOL_CRASH_UNLIKELY)
+		if (how == POOL_CRASH_UNLIKELY &&
+		    !has_gone_before(dispatch, run->name)) {
 			crash_put(dispatch->unlikely, run->name, &crash);
-		else
-			note(dispatch, run->name, &crash);
+			continue;
+		}
+		note_unlikely(dispatch, run->name);
+		note(dispatch, run->name, &crash);
 	}
 	unreserve(dispatch, worker);
 }
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -13,6 +13,7 @@
 #define ID "00000000000000a1"
 #define TASK ID ".0.0.0"
 #define MAX_CRASHES 3
+#define MAX_ALONE_CRASHES 2 /* of workers that ran nothing else */
 #define RUN_MS 50 /* until the worker crashes */
 #define DOWN_MS 300
 #define BUDGET_MS 30000
@@ -273,6 +274,49 @@
 }
 END_TEST
 
+/* Workers whose ids are in gone refuse holds, the others answer. */
+static void answer_unless_gone(const char *gone)
+{
+	for (int i = 1; i <= 4; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		if (strstr(gone, id))
+			fake_orders_refuse_hold(fake, id);
+		else
+			fake_orders_answer_hold(fake, id, NULL, 0, NULL, 0);
+	}
+}
+
+/*
+ * Workers fall silent under a task, each time with the rest of the rack, which
+ * returns: whether they crash is not known, and the second start alone is the
+ * last.
+ */
+START_TEST(test_task_goes_with_silent_workers)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	char gone[MAX_ALONE_CRASHES * 8 + 1] = "";
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	for (size_t started = 1; started <= MAX_ALONE_CRASHES; started++) {
+		ck_assert_uint_eq(fake->start_count, started);
+		strncat(gone, acknowledge(TASK), 7);
+		for (int i = 0; i < FAKE_ORDERS_LEASE_MS + 100; i += 20) {
+			answer_unless_gone("w1w2w3w4");
+			fake_orders_advance(fake, 20);
+		}
+		for (int i = 0; i < 30 && fake->start_count == started; i++) {
+			fake_orders_advance(fake, 100);
+			answer_unless_gone(gone);
+		}
+	}
+	ck_assert_uint_eq(fake->start_count, MAX_ALONE_CRASHES);
+	ck_assert_int_eq(crash_judge(record_of(TASK)), CRASH_UNDECIDED);
+}
+END_TEST
+
 /* Nothing listens at the worker's address: holds are not sent, nor renewed. */
 START_TEST(test_lease_of_a_lost_worker_lapses)
 {
@@ -452,6 +496,7 @@
 	tcase_add_test(alone, test_lost_rack_is_no_crash);
 	tcase_add_test(alone, test_lapse_behind_a_cut_is_no_crash);
 	tcase_add_test(alone, test_lease_of_a_lost_worker_lapses);
+	tcase_add_test(alone, test_task_goes_with_silent_workers);
 	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
 	tcase_add_test(alone, test_worker_that_crashes_by_itself_fails_no_job);
 	suite_add_tcase(suite, alone);
