--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -7,7 +7,7 @@
 #include "base/log.h"
 
 /* One worker of so many is reserved for suspects at most, and one at least. */
-#define RESERVED_DIVISOR 8
+#define RESERVED_DIVISOR 64
 #define EXPIRE_INTERVAL_MS 1000
 /* The other workers of its rack have answered by then, unless they are lost. */
 #define RACK_ANSWERS_MS 1000
