--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "core/crash_record.h"
 
 /*
  * Ticks are 20 ms apart. After a longer gap, answers may still be queued in
@@ -12,11 +13,14 @@
 #define LATE_TICK_MS 40
 /* A worker that is silent for longer is most likely lost or cut off. */
 #define SHORT_SILENCE_MS 1000
+/* Workers of a rack that is lost restart within this time of each other. */
+#define RACK_RESTART_MS 1000
 
 /* talloc frees the entries, but not the hash tables. */
 static int destroy(struct lease_pool *pool)
 {
 	HASH_CLEAR(hh, pool->by_id);
+	HASH_CLEAR(hh_key, pool->by_key);
 	HASH_CLEAR(hh, pool->by_token);
 	HASH_CLEAR(hh, pool->found);
 	return 0;
@@ -60,11 +64,108 @@
 	return pool->fence + worker->fence_step;
 }
 
+static bool is_rack_mate(const struct pool_worker *a,
+			 const struct pool_worker *b)
+{
+	char **x = a->labels;
+	char **y = b->labels;
+
+	if (a == b || !a->data_centre || !b->data_centre ||
+	    strcmp(a->data_centre, b->data_centre) != 0)
+		return false;
+	for (; x && y && *x && *y; x++, y++)
+		if (strcmp(*x, *y) != 0)
+			return false;
+	return true;
+}
+
+static bool was_lost(const struct pool_worker *worker, uint64_t since_ms)
+{
+	return worker->failures ||
+	       (worker->restarted_ms &&
+		worker->restarted_ms + RACK_RESTART_MS > since_ms);
+}
+
+enum pool_rack pool_rack_state(const struct lease_pool *pool,
+			       const struct pool_worker *worker,
+			       uint64_t since_ms)
+{
+	enum pool_rack state = POOL_RACK_UNKNOWN;
+	const struct pool_worker *mate;
+
+#ifdef BREAK_RACK
+	return POOL_RACK_LIVES;
+#endif
+	TAILQ_FOREACH(mate, &pool->workers, entry) {
+		if (mate->draining || !is_rack_mate(mate, worker))
+			continue;
+		if (was_lost(mate, since_ms))
+			state = POOL_RACK_LOST;
+		else if (mate->state == POOL_HELD &&
+			 mate->answered_ms >= since_ms)
+			return POOL_RACK_LIVES;
+	}
+	return state;
+}
+
+/* Asks the rack mates of a silent worker whether they live. */
+static void probe_rack_mates(struct lease_pool *pool,
+			     struct pool_worker *worker, uint64_t now_ms)
+{
+	struct pool_worker *mate;
+
+	worker->mates_probed = true;
+	TAILQ_FOREACH(mate, &pool->workers, entry)
+		if (mate->state == POOL_HELD && !mate->hold_pending &&
+		    !mate->failures && is_rack_mate(mate, worker))
+			pool_send_hold(pool, mate, 0, now_ms);
+}
+
+/*
+ * Reports a worker that restarted or fell silent under its runs, unless it left
+ * as planned. Returns true if it has crashed.
+ */
+static bool note_gone(struct lease_pool *pool, struct pool_worker *worker,
+		      bool is_restarted, uint64_t now_ms)
+{
+	uint64_t since_ms =
+		worker->lost_ms ? worker->lost_ms : worker->answered_ms;
+	enum pool_crash crash = POOL_CRASH_LIKELY;
+	enum pool_rack rack;
+
+	if (!worker->run_count || !worker->born_ms || worker->draining)
+		return false;
+	rack = pool_rack_state(pool, worker, since_ms);
+	if (is_restarted && rack != POOL_RACK_LOST)
+		crash = POOL_CRASH_CERTAIN;
+	else if (!is_restarted && rack == POOL_RACK_LOST)
+		crash = POOL_CRASH_UNLIKELY;
+	pool->options.worker_gone(pool->options.ctx, worker, crash, now_ms);
+	if (crash == POOL_CRASH_LIKELY)
+		probe_rack_mates(pool, worker, now_ms);
+	return crash == POOL_CRASH_CERTAIN;
+}
+
+const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
+					   uint64_t key)
+{
+	struct pool_worker *worker;
+
+	HASH_FIND(hh_key, pool->by_key, &key, sizeof(key), worker);
+	return worker;
+}
+
 void pool_reset_worker(struct lease_pool *pool, struct pool_worker *worker,
 		       uint64_t now_ms)
 {
-	pool_close_previous_runs(pool, worker, now_ms);
+	enum pool_end how = note_gone(pool, worker, true, now_ms) ? POOL_CRASHED
+								  : POOL_LAPSED;
+
+	pool_close_previous_runs(pool, worker, how, now_ms);
 	pool_reopen_late_starts(pool, worker, now_ms);
+	worker->restarted_ms = now_ms;
+	worker->lost_ms = 0;
+	worker->mates_probed = false;
 	worker->state = POOL_UNHELD;
 #ifndef BREAK_FENCE_STEP
 	if (worker->fence_step < POOL_FENCE_STEPS - 1)
@@ -110,10 +211,18 @@
 
 	slot->worker = worker;
 	slot->speed = worker->speed;
-	slot->spare_milli = capacity > used ? capacity - used : 0;
+	slot->spare_milli =
+		capacity > used && !worker->is_reserved ? capacity - used : 0;
 	pool->room_version++;
 }
 
+void pool_reserve_worker(struct lease_pool *pool, struct pool_worker *worker,
+			 bool is_reserved)
+{
+	worker->is_reserved = is_reserved;
+	pool_update_slot(pool, worker);
+}
+
 const struct pool_slot *pool_slots(const struct lease_pool *pool, size_t *count)
 {
 	*count = pool->slot_count;
@@ -129,6 +238,8 @@
 {
 	TAILQ_REMOVE(&pool->workers, worker, entry);
 	HASH_REMOVE(pool->by_id, worker);
+	if (pool->by_key)
+		HASH_DELETE(hh_key, pool->by_key, worker);
 	remove_slot(pool, worker->slot);
 	talloc_free(worker);
 }
@@ -138,12 +249,14 @@
 	struct pool_worker *worker = talloc_zero(pool, struct pool_worker);
 
 	worker->id = talloc_strdup(worker, id);
+	worker->key = crash_worker_key(id);
 	worker->speed = 1.0;
 	LIST_INIT(&worker->runs);
 	LIST_INIT(&worker->late_starts);
 	add_slot(pool, worker);
 	HASH_ADD_KEYPTR(hh, pool->by_id, worker->id, strlen(worker->id),
 			worker);
+	HASH_ADD(hh_key, pool->by_key, key, sizeof(worker->key), worker);
 	TAILQ_INSERT_TAIL(&pool->workers, worker, entry);
 	return worker;
 }
@@ -403,6 +516,7 @@
 			pool_free_run(pool, run);
 		pool_forget_late_starts(worker);
 		worker->state = POOL_UNHELD;
+		worker->is_reserved = false;
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		/* If this instance leads again, it reads all ends again. */
@@ -466,6 +580,8 @@
 	struct pool_run *run = LIST_FIRST(&worker->runs);
 	struct pool_run *next;
 
+	if (worker->run_count && worker->failures && !worker->mates_probed)
+		probe_rack_mates(pool, worker, now_ms);
 	for (; run; run = next) {
 		next = LIST_NEXT(run, in_worker);
 		pool_tick_run(pool, run, now_ms);
@@ -479,6 +595,8 @@
 			    "answer %" PRIu64 " ms ago; closing them",
 			    worker->id, worker->run_count,
 			    now_ms - worker->answered_ms);
+		if (worker->failures)
+			note_gone(pool, worker, false, now_ms);
 		pool_close_all(pool, worker, now_ms);
 	}
 	pool_send_due_hold(pool, worker, now_ms);
@@ -487,7 +605,7 @@
 static bool is_removable(const struct pool_worker *worker, uint64_t now_ms)
 {
 	return !worker->registered && !worker->run_count &&
-	       !worker->hold_pending &&
+	       !worker->is_reserved && !worker->hold_pending &&
 	       (is_drained(worker, now_ms) ||
 		now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS);
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -58,6 +58,7 @@
 	POOL_NO_ROOM, /* refused: does not fit */
 	POOL_OLD, /* refused: worker has seen this run number or a higher one */
 	POOL_NOT_RUN, /* refused, or shown never to have begun */
+	POOL_CRASHED, /* its worker crashed and restarted */
 	POOL_END_COUNT,
 };
 
@@ -70,8 +71,10 @@
 
 struct pool_worker {
 	UT_hash_handle hh;
+	UT_hash_handle hh_key;
 	TAILQ_ENTRY(pool_worker) entry;
 	char *id;
+	uint64_t key; /* crash_worker_key of its id */
 	char *address;
 	char *service;
 	char *data_centre;
@@ -80,6 +83,7 @@
 	bool is_capacity_known; /* false: it is that of an earlier process */
 	struct step_job_demand used; /* by open runs */
 	uint64_t born_ms;
+	uint64_t restarted_ms; /* when this was noticed; 0: never */
 	bool draining;
 	bool registered;
 	uint64_t unregistered_ms; /* when its registration was removed */
@@ -93,8 +97,12 @@
 	uint64_t clock_ms; /* worker's clock at clock_at_ms; 0: unknown */
 	uint64_t clock_at_ms; /* on our clock */
 	uint64_t lease_until_ms; /* runs we started have ended by then */
+	uint64_t hold_lease_ms; /* lease_until_ms by the last hold; 0: none */
+	uint64_t former_lease_ms; /* lease_until_ms before that hold */
 	uint32_t failures; /* unanswered holds in a row */
 	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
+	uint64_t lost_ms; /* time of the first of them; 0: answers holds */
+	bool mates_probed; /* since lost_ms */
 	uint64_t retry_ms; /* no hold is sent before */
 	uint64_t answered_ms; /* time of the last answer to a hold */
 	uint64_t probed_ms; /* when the last answered hold was sent */
@@ -110,6 +118,7 @@
 	uint32_t unsized_count; /* of open runs; see is_unsized */
 	bool hold_renews; /* the last hold renews the lease */
 	uint32_t fence_step; /* see POOL_FENCE_STEPS */
+	bool is_reserved; /* for a task that is tried alone */
 	size_t slot; /* index in the pool's slots */
 };
 
@@ -237,6 +246,14 @@
 	size_t ended_count;
 };
 
+/* Whether a worker that has gone has crashed by itself. */
+enum pool_crash {
+	POOL_CRASH_CERTAIN, /* it has restarted, and not with its rack */
+	/* It fell silent alone, or restarted when its rack may be lost. */
+	POOL_CRASH_LIKELY,
+	POOL_CRASH_UNLIKELY, /* others of its rack fell silent, too */
+};
+
 struct pool_options {
 	const struct pool_ports *ports;
 	uint32_t lease_ms; /* longest lease of a worker */
@@ -258,6 +275,9 @@
 	/* The same for a run that was found to have ended as POOL_DONE. */
 	bool (*found_done)(void *ctx, const char *job, const char *task,
 			   uint64_t now_ms);
+	/* Called for a worker that has gone, before its runs are closed. */
+	void (*worker_gone)(void *ctx, struct pool_worker *worker,
+			    enum pool_crash crash, uint64_t now_ms);
 	void *ctx;
 };
 
@@ -405,6 +425,10 @@
  */
 void pool_tick(struct lease_pool *pool, uint64_t now_ms);
 
+/* Returns the worker with that key; NULL if there is none. */
+const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
+					   uint64_t key);
+
 const struct pool_worker_list *pool_workers(const struct lease_pool *pool);
 
 /* Returns the slots of all workers, in no order, and their number. */
@@ -427,6 +451,21 @@
  */
 bool pool_counts_as_capacity(const struct pool_worker *worker, uint64_t now_ms);
 
+enum pool_rack {
+	POOL_RACK_UNKNOWN, /* no other worker of the rack has answered since */
+	POOL_RACK_LIVES,
+	POOL_RACK_LOST, /* others were lost, too, and none has answered since */
+};
+
+/* Returns how the other workers of a worker's rack have fared since a time. */
+enum pool_rack pool_rack_state(const struct lease_pool *pool,
+			       const struct pool_worker *worker,
+			       uint64_t since_ms);
+
+/* Reserves a worker: only tasks that are tried alone start on it. */
+void pool_reserve_worker(struct lease_pool *pool, struct pool_worker *worker,
+			 bool is_reserved);
+
 /* Returns true if a task fits into what open runs leave of the worker. */
 bool pool_fits(const struct pool_worker *worker,
 	       const struct step_job_demand *demand);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -99,12 +99,15 @@
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
 	};
 
+	worker->hold_lease_ms = 0;
 	worker->hold_renews =
 		worker->clock_ms && worker->run_count && pool_may_renew(worker);
 	if (worker->hold_renews) {
 		call.deadline_ms = pool_worker_clock(worker, now_ms) +
 				   pool->options.lease_ms;
+		worker->former_lease_ms = worker->lease_until_ms;
 		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
+		worker->hold_lease_ms = worker->lease_until_ms;
 	}
 	if (call.ends_read > worker->ends_acked)
 		worker->ends_acked = call.ends_read;
@@ -217,6 +220,8 @@
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		worker->failures = 0;
+		worker->lost_ms = 0;
+		worker->mates_probed = false;
 		worker->retry_ms = 0;
 		/* Another leader may have renewed it up to now. */
 		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
@@ -411,7 +416,7 @@
 	/* The first retry is immediate: the lease may lapse soon. */
 	worker->retry_ms = worker->failures ? now_ms + wait_ms : now_ms;
 	if (!worker->failures)
-		worker->silent_ms = now_ms;
+		worker->silent_ms = worker->lost_ms = now_ms;
 	if (answer == POOL_NOT_SENT)
 		worker->silent_ms = 0;
 	/* Nothing listens there: no task starts on it from now on. */
@@ -437,7 +442,7 @@
 	    worker->failures >= POOL_LOST_HOLDS)
 		return;
 	if (!worker->failures)
-		worker->silent_ms = now_ms;
+		worker->silent_ms = worker->lost_ms = now_ms;
 	worker->failures = POOL_LOST_HOLDS;
 	worker->retry_ms = now_ms;
 }
@@ -453,6 +458,8 @@
 	if (worker->failures)
 		pool->room_version++;
 	worker->failures = 0;
+	worker->lost_ms = 0;
+	worker->mates_probed = false;
 	worker->retry_ms = 0;
 	worker->answered_ms = now_ms;
 	worker->probed_ms = worker->hold_sent_ms;
@@ -469,6 +476,15 @@
 	worker->state = POOL_HELD;
 }
 
+/* A hold that was not sent has renewed nothing. */
+static void restore_lease(struct pool_worker *worker)
+{
+	if (worker->hold_lease_ms &&
+	    worker->lease_until_ms == worker->hold_lease_ms)
+		worker->lease_until_ms = worker->former_lease_ms;
+	worker->hold_lease_ms = 0;
+}
+
 void pool_hold_answered(struct lease_pool *pool, const char *id,
 			uint64_t serial, const struct pool_reply *reply,
 			const struct pool_lists *lists, uint64_t now_ms)
@@ -489,6 +505,8 @@
 		pool_mark_foreign(pool, worker, now_ms);
 	else
 		pool_hold_failed(worker, reply->answer, now_ms);
+	if (reply->answer == POOL_NOT_SENT)
+		restore_lease(worker);
 	pool_send_due_hold(pool, worker, now_ms);
 }
 
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -45,6 +45,7 @@
 	struct pool_options options;
 	const struct pool_ports *ports;
 	struct pool_worker *by_id;
+	struct pool_worker *by_key;
 	struct pool_worker_list workers;
 	struct pool_run *by_token;
 	struct found_job *found;
@@ -167,12 +168,13 @@
 		    uint64_t now_ms);
 
 /*
- * Closes the acknowledged runs of a worker that has restarted. A start without
- * an answer may reach the new process, so its run stays open and is stopped
- * again: the new process does not know of earlier stops.
+ * Closes the acknowledged runs of a worker that has restarted, as how says. A
+ * start without an answer may reach the new process, so its run stays open and
+ * is stopped again: the new process does not know of earlier stops.
  */
 void pool_close_previous_runs(struct lease_pool *pool,
-			      struct pool_worker *worker, uint64_t now_ms);
+			      struct pool_worker *worker, enum pool_end how,
+			      uint64_t now_ms);
 
 /* Opens the runs of late starts again, which are stopped at the new process. */
 void pool_reopen_late_starts(struct lease_pool *pool,
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -48,6 +48,8 @@
 #define SHRINK_MS 4500
 /* The same after a restart: the first report, or the next one, is read. */
 #define RESTART_SHRINK_MS 2000
+#define CUT_OFF_MS 4000
+#define MAX_CRASHES 16 /* that are kept of a task */
 
 struct run {
 	char task[STEP_JOB_TASK_BYTES];
@@ -57,6 +59,8 @@
 	uint64_t started_ms;
 	uint64_t ends_ms;
 	bool is_stopping;
+	struct job
+		*crashes; /* job of a deadly task, which crashes the worker */
 };
 
 struct end {
@@ -106,6 +110,7 @@
 	uint32_t milli; /* capacity */
 	uint32_t old_milli; /* before the last change, at changed_ms */
 	uint64_t changed_ms;
+	uint64_t down_until_ms; /* refuses connections */
 };
 
 struct node {
@@ -131,6 +136,7 @@
 	EV_HOLD_REPLY,
 	EV_RESEND,
 	EV_FLUSH,
+	EV_REACTION,
 };
 enum order_kind { ORDER_HOLD, ORDER_START, ORDER_STOP };
 
@@ -172,6 +178,9 @@
 	bool refused;
 	bool only_refused; /* every attempt so far was refused */
 	uint32_t attempts; /* of the caller */
+	bool is_deadly; /* its first task crashes workers */
+	uint32_t crashes;
+	uint64_t crashed_by[MAX_CRASHES]; /* incarnations of the starters */
 };
 
 struct request {
@@ -206,6 +215,7 @@
 	uint64_t now_ms;
 	bool faults_ended;
 	bool started; /* all instances were started once */
+	struct job *reacted_to; /* whose crash caused the reaction */
 	uint64_t power_on_ms; /* the first instance is back; 0: not killed */
 };
 
@@ -374,6 +384,10 @@
 	if (job->request != answer->request)
 		return; /* of an earlier attempt */
 	job->open = false;
+	if (answer->end == LEASE_FAILED && job->is_deadly)
+		site->result->deadly_failed++;
+	else if (answer->end == LEASE_FAILED)
+		site->result->innocent_failed++;
 	switch (answer->end) {
 	case LEASE_COMPLETED:
 	case LEASE_FAILED:
@@ -614,11 +628,17 @@
 		w->lease_ms = deadline_ms;
 }
 
+static bool is_first_task(const char *task)
+{
+	return !strcmp(task + STEP_JOB_ID_DIGITS, ".0.0.0");
+}
+
 static enum pool_answer start_run(struct site *site, struct worker *w,
 				  const struct event *e)
 {
 	struct seen_run *seen_run = get_seen_run(w, e->task);
 	uint32_t attempt;
+	struct job *job;
 	struct run *run;
 
 	if (e->deadline_ms <= clock_of(site, w))
@@ -649,6 +669,11 @@
 	run->ends_ms = site->now_ms + MIN_RUN_MS +
 		       random_below(&site->random, 2 * task_ms(site));
 	prolong_lease(site, w, e->deadline_ms);
+	HASH_FIND(hh, site->jobs, e->task, STEP_JOB_ID_DIGITS, job);
+	run->crashes =
+		job && job->is_deadly && is_first_task(e->task) ? job : NULL;
+	if (run->crashes)
+		run->ends_ms = site->now_ms + MIN_RUN_MS;
 	return POOL_OK;
 }
 
@@ -732,6 +757,8 @@
 	reply->worker = e->worker;
 	reply->token = e->token;
 	reply->reply.answer = answer;
+	if (answer == POOL_NOT_SENT)
+		return;
 	reply->reply.clock_ms = clock_of(site, e->worker);
 	reply->reply.born_ms = e->worker->born;
 }
@@ -742,6 +769,10 @@
 
 	if (!w)
 		return;
+	if (w->down_until_ms > site->now_ms) {
+		reply_later(site, e, POOL_NOT_SENT);
+		return;
+	}
 	if (e->fence < w->fence) {
 		reply_later(site, e, POOL_FENCED);
 		return;
@@ -802,16 +833,108 @@
 				 &lists, site->now_ms);
 }
 
+static void resize_worker(struct site *site, struct worker *w)
+{
+	w->old_milli = w->milli;
+	w->milli = TASK_MILLI *
+		   (uint32_t)random_below(&site->random,
+					  WORKER_MILLI / TASK_MILLI + 1);
+	w->changed_ms = site->now_ms;
+	log_info(LOG_TARGET, "at %" PRIu64 " ms: worker %s has %u milli cores",
+		 site->now_ms, w->id, w->milli);
+}
+
+/* Restarts a worker without its state. */
+static void restart_worker(struct site *site, struct worker *w)
+{
+	struct seen_run *seen_run, *next;
+
+	for (uint32_t n = 0; n < site->options->instances; n++) {
+		if (!w->holds[n].waits)
+			continue;
+		if (site->options->worker_clocks)
+			time_out(&site->nodes[n], ORDER_HOLD, w,
+				 w->holds[n].serial, NETWORK_MS);
+		else
+			lose_hold(site, w, (int)n);
+	}
+	w->run_count = w->end_count = 0;
+	w->last_end = 0;
+	w->fence = 0;
+	w->lease_ms = 0;
+	if (site->options->worker_clocks)
+		w->clock_start_ms = site->now_ms;
+	w->born += 1000;
+	if (site->options->is_unguarded) {
+		resize_worker(site, w);
+		w->changed_ms -= SHRINK_MS - RESTART_SHRINK_MS;
+	}
+	w->report_ms = site->now_ms + FIRST_REPORT_MS;
+	memset(w->holds, 0, sizeof(w->holds));
+	HASH_ITER(hh, w->seen_runs, seen_run, next) {
+		HASH_DEL(w->seen_runs, seen_run);
+		talloc_free(seen_run);
+	}
+}
+
+static void count_crash(struct site *site, struct job *job, uint64_t by)
+{
+	uint32_t by_one = 0;
+
+	if (job->crashes < MAX_CRASHES)
+		job->crashed_by[job->crashes] = by;
+	job->crashes++;
+	if (job == site->reacted_to)
+		site->result->reacted_crashes = job->crashes;
+	for (uint32_t i = 0; i < job->crashes && i < MAX_CRASHES; i++)
+		by_one += job->crashed_by[i] == by;
+	site->result->crashes++;
+	if (job->crashes > site->result->most_crashes)
+		site->result->most_crashes = job->crashes;
+	if (by_one > site->result->most_crashes_by_one)
+		site->result->most_crashes_by_one = by_one;
+}
+
+static void crash_under(struct site *site, struct worker *w,
+			const struct run *run)
+{
+	const struct fake_site_options *o = site->options;
+	struct job *job = run->crashes;
+	struct node *starter = &site->nodes[run->node];
+
+	log_info(LOG_TARGET,
+		 "at %" PRIu64 " ms: worker %s crashes under task %s run %u",
+		 site->now_ms, w->id, run->task, run->number);
+	count_crash(site, job, starter->incarnation);
+	if (o->reaction != FAKE_SITE_NOTHING && !site->reacted_to &&
+	    job->crashes == o->react_at) {
+		struct event *event =
+			schedule_event(site, EV_REACTION, o->react_ms + 1);
+
+		event->node = run->node;
+		event->incarnation = starter->incarnation;
+		site->reacted_to = job;
+		site->result->reacted_crashes = job->crashes;
+	}
+	restart_worker(site, w);
+	w->down_until_ms = site->now_ms + o->down_ms;
+}
+
 static void step_worker(struct site *site, struct worker *w)
 {
 	for (size_t i = 0; i < w->run_count; i++) {
 		const struct run *run = &w->runs[i];
 		enum pool_end how = run->is_stopping ? POOL_STOPPED : POOL_DONE;
 
-		if (w->lease_ms <= clock_of(site, w))
+		if (w->lease_ms <= clock_of(site, w)) {
 			end_run(w, i--, POOL_LAPSED);
-		else if (run->ends_ms <= site->now_ms)
+		} else if (run->ends_ms <= site->now_ms) {
+			if (run->crashes && !run->is_stopping) {
+				crash_under(site, w, run);
+				return;
+			}
 			end_run(w, i--, how);
+		}
 	}
 	if (!w->has_holds)
 		return;
@@ -1084,7 +1207,10 @@
 	request->job = job;
 	HASH_ADD(hh, site->requests, number, sizeof(request->number), request);
 	lease_node_submit(node->lease_node, job->request, &queue, spec,
-			  DEADLINE_MS, site->now_ms);
+			  site->options->deadline_ms
+				  ? site->options->deadline_ms
+				  : DEADLINE_MS,
+			  site->now_ms);
 }
 
 static void submit_new_job(struct site *site)
@@ -1093,6 +1219,9 @@
 
 	snprintf(job->id, sizeof(job->id), "%016x", ++site->result->jobs);
 	job->only_refused = true;
+	if (site->options->deadly_percent)
+		job->is_deadly = random_below(&site->random, 100) <
+				 site->options->deadly_percent;
 	HASH_ADD(hh, site->jobs, id, STEP_JOB_ID_DIGITS, job);
 	submit(site, job);
 }
@@ -1175,17 +1304,23 @@
 		kill_node(site, node);
 }
 
-static void stop_random_node(struct site *site)
+static void begin_stop(struct site *site, struct node *node)
 {
-	struct node *node = pick_running_node(site);
-
-	if (!node || node->stop_ends_ms)
+	if (node->stop_ends_ms)
 		return;
 	node->stop_ends_ms = site->now_ms + STOP_LIMIT_MS;
 	lease_node_begin_stop(node->lease_node, node->stop_ends_ms,
 			      site->now_ms);
 }
 
+static void stop_random_node(struct site *site)
+{
+	struct node *node = pick_running_node(site);
+
+	if (node)
+		begin_stop(site, node);
+}
+
 /* Resets a link, which is opened again at once. */
 static void reset_link(struct site *site)
 {
@@ -1199,17 +1334,6 @@
 	link_nodes(site, a, b);
 }
 
-static void resize_worker(struct site *site, struct worker *w)
-{
-	w->old_milli = w->milli;
-	w->milli = TASK_MILLI *
-		   (uint32_t)random_below(&site->random,
-					  WORKER_MILLI / TASK_MILLI + 1);
-	w->changed_ms = site->now_ms;
-	log_info(LOG_TARGET, "at %" PRIu64 " ms: worker %s has %u milli cores",
-		 site->now_ms, w->id, w->milli);
-}
-
 static void resize_random_worker(struct site *site)
 {
 	struct worker *w = &site->workers[random_below(&site->random,
@@ -1223,35 +1347,37 @@
 /* Restarts a worker under its id, without its state. */
 static void crash_worker(struct site *site)
 {
-	struct worker *w = &site->workers[random_below(&site->random,
-						       site->options->workers)];
-	struct seen_run *seen_run, *next;
+	restart_worker(site, &site->workers[random_below(
+				     &site->random, site->options->workers)]);
+}
 
-	for (uint32_t n = 0; n < site->options->instances; n++) {
-		if (!w->holds[n].waits)
-			continue;
-		if (site->options->worker_clocks)
-			time_out(&site->nodes[n], ORDER_HOLD, w,
-				 w->holds[n].serial, NETWORK_MS);
-		else
-			lose_hold(site, w, (int)n);
-	}
-	w->run_count = w->end_count = 0;
-	w->last_end = 0;
-	w->fence = 0;
-	w->lease_ms = 0;
-	if (site->options->worker_clocks)
-		w->clock_start_ms = site->now_ms;
-	w->born += 1000;
-	if (site->options->is_unguarded) {
-		resize_worker(site, w);
-		w->changed_ms -= SHRINK_MS - RESTART_SHRINK_MS;
-	}
-	w->report_ms = site->now_ms + FIRST_REPORT_MS;
-	memset(w->holds, 0, sizeof(w->holds));
-	HASH_ITER(hh, w->seen_runs, seen_run, next) {
-		HASH_DEL(w->seen_runs, seen_run);
-		talloc_free(seen_run);
+static void react(struct site *site, struct node *node)
+{
+	uint64_t until_ms = site->now_ms + CUT_OFF_MS;
+	uint32_t n = site->options->instances;
+
+	if (!is_running(site, node))
+		return;
+	switch (site->options->reaction) {
+	case FAKE_SITE_KILLED:
+		kill_node(site, node);
+		break;
+	case FAKE_SITE_STOPPED:
+		begin_stop(site, node);
+		break;
+	case FAKE_SITE_CUT_OFF:
+		for (uint32_t a = 0; a < n; a++) {
+			for (uint32_t b = 0; b < n; b++)
+				if ((a ^ b) & 1)
+					site->cut_until_ms[a][b] = until_ms;
+			for (uint32_t w = 0; w < site->options->workers; w++)
+				if ((a ^ w) & 1)
+					site->worker_cut_until_ms[a][w] =
+						until_ms;
+		}
+		break;
+	default:
+		break;
 	}
 }
 
@@ -1369,6 +1495,10 @@
 	}
 	if (!node->lease_node || node->incarnation != e->incarnation)
 		return;
+	if (e->kind == EV_REACTION) {
+		react(site, node);
+		return;
+	}
 	if (!is_running(site, node)) {
 		struct event *later = schedule_event(
 			site, e->kind, node->frozen_until_ms - site->now_ms);
