--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -356,6 +356,19 @@
 }
 END_TEST
 
+/* Its entry is lost behind a cut, where the former leader goes on. */
+START_TEST(test_two_runs_after_the_entry_was_lost_in_a_cut)
+{
+	check_one_run("1 2 0 0 0 1 1300:partition(1,1) 1400:kill(1,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_after_a_cancel_was_lost_in_a_cut)
+{
+	check_one_run("1 1 0 1 0 1 1300:partition(1,1) 1400:hang_up(0,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -404,6 +417,8 @@
 	tcase_add_test(tc, test_two_runs_while_a_found_run_is_being_stopped);
 	tcase_add_test(tc,
 		       test_two_runs_after_a_late_start_on_a_restarted_worker);
+	tcase_add_test(tc, test_two_runs_after_the_entry_was_lost_in_a_cut);
+	tcase_add_test(tc, test_two_runs_after_a_cancel_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 }
 
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -20,19 +20,6 @@
 	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
 }
 
-/* Its entry is lost behind a cut, where the former leader goes on. */
-START_TEST(test_two_runs_after_the_entry_was_lost_in_a_cut)
-{
-	check_one_run("1 2 0 0 0 1 1300:partition(1,1) 1400:kill(1,0)");
-}
-END_TEST
-
-START_TEST(test_two_runs_after_a_cancel_was_lost_in_a_cut)
-{
-	check_one_run("1 1 0 1 0 1 1300:partition(1,1) 1400:hang_up(0,0)");
-}
-END_TEST
-
 /* It has left the list while it drains, and runs on. */
 START_TEST(test_two_runs_after_a_drained_worker_was_not_listed)
 {
@@ -57,8 +44,6 @@
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
-			test_two_runs_after_the_entry_was_lost_in_a_cut,
-			test_two_runs_after_a_cancel_was_lost_in_a_cut,
 			test_two_runs_after_a_drained_worker_was_not_listed,
 			test_two_runs_after_a_stop_beside_a_new_worker,
 			test_two_runs_after_a_kill_beside_a_new_worker);
