core/tests: two runs after an entry has stopped as planned in a cut

Cause: note_lost_entry leaves out a member that is stopping. Its last answers (504, given up) are sent when its grace ends; the cancel to a leader that has just been cut off is lost, and nobody is left to remember the job.

--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -41,10 +41,18 @@
 }
 END_TEST
 
+/* The entry answers the job as given up, and ends, behind a cut. */
+START_TEST(test_two_runs_after_an_entry_has_stopped_in_a_cut)
+{
+	check_one_run("1 1 0 0 0 0 100:stop(1,0) 1500:partition(1,1)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
 			test_two_runs_after_a_drained_worker_was_not_listed,
 			test_two_runs_after_a_stop_beside_a_new_worker,
-			test_two_runs_after_a_kill_beside_a_new_worker);
+			test_two_runs_after_a_kill_beside_a_new_worker,
+			test_two_runs_after_an_entry_has_stopped_in_a_cut);
 }
