core/tests: two orders in which a lost cancel is not told to the next leader

Cause: an entry remembers a cancel that its leader has not received, and tells the next leader. One that is frozen then, or is cut off from both, tells nobody in the 1.3 s until its caller sends the job again.

--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -48,11 +48,31 @@
 }
 END_TEST
 
+/* The entry, which remembers the lost cancel, is frozen. */
+START_TEST(test_two_runs_after_a_cancel_was_lost_and_its_entry_froze)
+{
+	check_one_run("1 2 0 0 0 0 1300:partition(1,1) 1300:hang_up(0,0) "
+		      "1400:freeze(1,3000)");
+}
+END_TEST
+
+/* The entry, which remembers the lost cancel, does not reach the next leader.
+ */
+START_TEST(test_two_runs_after_a_cancel_was_lost_between_two_cuts)
+{
+	check_one_run("1 2 0 0 0 0 1300:partition(4,2) 1400:partition(1,1) "
+		      "1400:hang_up(0,0)");
+}
+END_TEST
+
 int main(void)
 {
-	return RUN_CASE("lease_two_runs", NULL, NULL,
-			test_two_runs_after_a_drained_worker_was_not_listed,
-			test_two_runs_after_a_stop_beside_a_new_worker,
-			test_two_runs_after_a_kill_beside_a_new_worker,
-			test_two_runs_after_an_entry_has_stopped_in_a_cut);
+	return RUN_CASE(
+		"lease_two_runs", NULL, NULL,
+		test_two_runs_after_a_drained_worker_was_not_listed,
+		test_two_runs_after_a_stop_beside_a_new_worker,
+		test_two_runs_after_a_kill_beside_a_new_worker,
+		test_two_runs_after_an_entry_has_stopped_in_a_cut,
+		test_two_runs_after_a_cancel_was_lost_and_its_entry_froze,
+		test_two_runs_after_a_cancel_was_lost_between_two_cuts);
 }
