core/tests: two runs after a cancel was lost in a change of the leader

With relays: the leader is frozen for 0.7 s, the caller hangs up at the entry 0.1 s later; the entry leads for 3 ms as the former leader wakes up, and is cut off 0.1 s after that; the job is sent again to the former leader, while run 1 goes on.

--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -44,14 +44,20 @@
 }
 END_TEST
 
+/* The leader that read the cancel had just lost its claim, and is cut off. */
+START_TEST(test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader)
+{
+	check_one_run("1 0 1 0 0 1 700:freeze(0,700) 800:hang_up(0,0) "
+		      "1500:partition(1,2)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
 		"lease_two_runs", NULL, NULL,
-		test_two_runs_after_a_drained_worker_was_not_listed,
-		test_two_runs_after_a_stop_beside_a_new_worker,
-		test_two_runs_after_a_kill_beside_a_new_worker,
 		test_two_runs_after_an_entry_has_stopped_in_a_cut,
 		test_two_runs_after_a_cancel_was_lost_and_its_entry_froze,
-		test_two_runs_after_a_cancel_was_lost_between_two_cuts);
+		test_two_runs_after_a_cancel_was_lost_between_two_cuts,
+		test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader);
 }
