core: an entry that stopped as planned is a lost one, too

Cause: an entry that stops answers its last jobs as given up, and ends. If their leader was cut off just before, its runs go on, and the callers send the jobs again to the next leader, which expected such jobs only after an unplanned loss. Evidence: test_two_runs_after_an_entry_has_stopped_in_a_cut (the leader is cut off 0.1 s before the entry ends), found by test_lease_orders. Change: the loss of a stopping entry's link counts, too. Before / after: that test fails / passes; it moves to test_lease_orders.

--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -367,7 +367,7 @@
 		leader_find(lease_node->members, incarnation);
 
 	/* A leader's own callers come after its leases have lapsed. */
-	if (!m || m->claim || m->stopping)
+	if (!m || m->claim)
 		return;
 	if (!lease_node->entry_lost_ms ||
 	    now_ms - lease_node->entry_lost_ms >= LOST_ENTRY_MS)
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -392,6 +392,13 @@
 }
 END_TEST
 
+/* The entry answers the job as given up, and ends, behind a cut. */
+START_TEST(test_two_runs_after_an_entry_has_stopped_in_a_cut)
+{
+	check_one_run("1 1 0 0 0 0 100:stop(1,0) 1500:partition(1,1)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -454,6 +461,7 @@
 	tcase_add_test(tc, test_two_runs_after_the_entry_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_cancel_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_drained_worker_was_not_listed);
+	tcase_add_test(tc, test_two_runs_after_an_entry_has_stopped_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_stop_beside_a_new_worker);
 	tcase_add_test(tc, test_two_runs_after_a_kill_beside_a_new_worker);
 	tcase_add_test(tc, test_two_runs_in_any_order);
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -20,13 +20,6 @@
 	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
 }
 
-/* The entry answers the job as given up, and ends, behind a cut. */
-START_TEST(test_two_runs_after_an_entry_has_stopped_in_a_cut)
-{
-	check_one_run("1 1 0 0 0 0 100:stop(1,0) 1500:partition(1,1)");
-}
-END_TEST
-
 /* The entry, which remembers the lost cancel, is frozen. */
 START_TEST(test_two_runs_after_a_cancel_was_lost_and_its_entry_froze)
 {
@@ -56,7 +49,6 @@
 {
 	return RUN_CASE(
 		"lease_two_runs", NULL, NULL,
-		test_two_runs_after_an_entry_has_stopped_in_a_cut,
 		test_two_runs_after_a_cancel_was_lost_and_its_entry_froze,
 		test_two_runs_after_a_cancel_was_lost_between_two_cuts,
 		test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader);
