core/tests: two runs after an entry stopped beside a cut

Callers would see: a task that runs twice at once. An entry that stops as planned answers its open jobs with 504 when its time is up; its leader is cut off 50 ms before, and the cancels are lost. What the entry remembers of them ends with its process. note_lost_entry leaves out members that are stopping, so that the leader elected behind the cut takes the job, sent again after 1.3 s, for a new one; the former leader waits for the silent entry until 1.5 s after the cut.

--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -54,6 +54,13 @@
 }
 END_TEST
 
+/* An entry that stops as planned answers while its leader is cut off. */
+START_TEST(test_two_runs_after_an_entry_stopped_beside_a_cut)
+{
+	check_one_run("1 2 0 0 0 0 300:stop(1,0) 1750:partition(1,1)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
@@ -61,5 +68,6 @@
 			test_two_runs_after_a_cancel_was_lost_in_a_cut,
 			test_two_runs_after_a_drained_worker_was_not_listed,
 			test_two_runs_after_a_stop_beside_a_new_worker,
-			test_two_runs_after_a_kill_beside_a_new_worker);
+			test_two_runs_after_a_kill_beside_a_new_worker,
+			test_two_runs_after_an_entry_stopped_beside_a_cut);
 }
