core/tests: two runs after a refusal while another leader runs the job

Callers would see: a task that runs twice at once. lease_submit takes the time by which another leader's runs end from the record of the job's end and deletes the record. The job waits, becomes too late or is shed, and is refused; lease_finish keeps no record of refused jobs. The next submission starts at once, while that leader's run is open.

--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1138,6 +1138,35 @@
 }
 END_TEST
 
+/*
+ * A job that its caller has sent again waits for another leader's runs and is
+ * refused as too late. Its caller sends it once more.
+ */
+START_TEST(test_two_runs_after_a_refusal_while_another_leader_runs_the_job)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_advance(fake, 100);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 2600,
+			     fake->now_ms);
+	/* The run is on w2, which this leader does not reach. */
+	pool_doubt_worker(lease_pool(fake->dispatch), "w2", fake->now_ms);
+	job.objective_ms = 200;
+	fake_orders_submit(fake, &job);
+	for (int i = 0; i < 100 && !fake->answer_count; i++)
+		fake_orders_advance(fake, 10);
+	ck_assert_uint_eq(fake->start_count, 0);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_REFUSED);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->start_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1172,5 +1201,6 @@
 		test_slow_answers_are_not_looked_up, test_slow_start_goes_on,
 		test_jobs_handed_over_are_no_arrivals,
 		test_fenced_off_is_no_overload,
-		test_delayed_start_reaches_a_restarted_worker);
+		test_delayed_start_reaches_a_restarted_worker,
+		test_two_runs_after_a_refusal_while_another_leader_runs_the_job);
 }
