core/tests: two runs after the record of an older end expired

A record of 2.9 s age is deleted 0.1 s later, and a job that is sent again then starts at once, while another leader's run is open.

--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1167,6 +1167,35 @@
 }
 END_TEST
 
+/* The record of a job's end is younger than the news of its open runs. */
+START_TEST(test_two_runs_after_the_record_of_an_older_end_expired)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_lead(fake, 5);
+	job.remaining_ms = 2000;
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	lease_cancel(fake->dispatch, &job.waiter, ID, fake->now_ms);
+	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
+	for (int i = 0; i < 290; i++) {
+		fake_orders_advance(fake, 10);
+		fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+		fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
+	}
+	ck_assert_uint_eq(fake->start_count, 1);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 2600,
+			     fake->now_ms);
+	pool_doubt_worker(lease_pool(fake->dispatch), "w2", fake->now_ms);
+	fake_orders_advance(fake, 200);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->start_count, 1);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1202,5 +1231,6 @@
 		test_jobs_handed_over_are_no_arrivals,
 		test_fenced_off_is_no_overload,
 		test_delayed_start_reaches_a_restarted_worker,
-		test_two_runs_after_a_refusal_while_another_leader_runs_the_job);
+		test_two_runs_after_a_refusal_while_another_leader_runs_the_job,
+		test_two_runs_after_the_record_of_an_older_end_expired);
 }
