core/tests: two runs after a silent entry was lost

An entry is cut off from all, and ends (or its caller hangs up) 10 ms later. No instance sees its link close, so that no entry_lost_ms is set. Its leader waits for it for 1.5 s, is itself cut off after 0.6 s, and the leader elected on the other side takes the job, sent again after 1.3 s, for a new one.

--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -61,6 +61,14 @@
 }
 END_TEST
 
+/* No instance sees that the entry's link is lost: it is silent, then ends. */
+START_TEST(test_two_runs_after_a_silent_entry_was_lost)
+{
+	check_one_run("1 2 0 0 0 0 300:partition(2,0) 310:kill(1,0) "
+		      "900:partition(1,1)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_two_runs", NULL, NULL,
@@ -69,5 +77,6 @@
 			test_two_runs_after_a_drained_worker_was_not_listed,
 			test_two_runs_after_a_stop_beside_a_new_worker,
 			test_two_runs_after_a_kill_beside_a_new_worker,
-			test_two_runs_after_an_entry_stopped_beside_a_cut);
+			test_two_runs_after_an_entry_stopped_beside_a_cut,
+			test_two_runs_after_a_silent_entry_was_lost);
 }
