--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -69,14 +69,27 @@
 }
 END_TEST
 
+/*
+ * The other side's leader, not heard for longer than CLOSED_MS, goes on; then
+ * it loses the entry, too.
+ */
+START_TEST(test_two_runs_after_the_entry_was_lost_long_after_a_cut)
+{
+	check_one_run("1 2 0 0 0 0 300:partition(4,2) 4000:cut_link(1,0) "
+		      "4050:kill(1,0)");
+}
+END_TEST
+
 int main(void)
 {
-	return RUN_CASE("lease_two_runs", NULL, NULL,
-			test_two_runs_after_the_entry_was_lost_in_a_cut,
-			test_two_runs_after_a_cancel_was_lost_in_a_cut,
-			test_two_runs_after_a_drained_worker_was_not_listed,
-			test_two_runs_after_a_stop_beside_a_new_worker,
-			test_two_runs_after_a_kill_beside_a_new_worker,
-			test_two_runs_after_an_entry_stopped_beside_a_cut,
-			test_two_runs_after_a_silent_entry_was_lost);
+	return RUN_CASE(
+		"lease_two_runs", NULL, NULL,
+		test_two_runs_after_the_entry_was_lost_in_a_cut,
+		test_two_runs_after_a_cancel_was_lost_in_a_cut,
+		test_two_runs_after_a_drained_worker_was_not_listed,
+		test_two_runs_after_a_stop_beside_a_new_worker,
+		test_two_runs_after_a_kill_beside_a_new_worker,
+		test_two_runs_after_an_entry_stopped_beside_a_cut,
+		test_two_runs_after_a_silent_entry_was_lost,
+		test_two_runs_after_the_entry_was_lost_long_after_a_cut);
 }
