core/tests: new jobs wait for an entry that was lost long ago

It passes if the entry is not lost. entry_lost_ms is never reset, and its age is not looked at. After one loss of an entry, each later change of the leader makes all new jobs wait for a look at all workers, or, while one of them is silent or the list was read for less than 30 s, until 2.6 s after the former leader's last beat.

--- a/packages/core/tests/test_lease_lost_entry.c
+++ b/packages/core/tests/test_lease_lost_entry.c
@@ -401,6 +401,45 @@
 }
 END_TEST
 
+/*
+ * An entry was lost long ago, and its callers have sent their jobs again long
+ * since. A new leader does not make all new jobs wait for the former leader.
+ */
+START_TEST(test_new_jobs_wait_for_an_entry_lost_long_ago)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+	struct pool_reply none = { .answer = POOL_NO_ANSWER };
+
+	link_up(ENTRY, "e");
+	link_up(OTHER, "o");
+	advance_with_beats(1000, true);
+	lease_node_peer_down(node, ENTRY, now_ms);
+	advance_with_beats(60000, false);
+	/* OTHER leads for a while, and is lost. */
+	beat.clock_ms = beat.echo_ms = now_ms;
+	beat.claim = beat.highest_claim = UINT64_C(1790000900000) << 12;
+	beat.majority = true;
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	lease_node_peer_message(node, OTHER, &peer, now_ms);
+	advance(100);
+	ck_assert(!lease_node_leads(node));
+	lease_node_peer_down(node, OTHER, now_ms);
+	advance(900);
+	ck_assert(lease_node_leads(node));
+	/* One worker is silent. */
+	waits[1] = false;
+	lease_node_hold_answered(node, "w2", serials[1], &none, NULL, now_ms);
+	waits[1] = false;
+	lease_node_hold_answered(node, "w2", serials[1], &none, NULL, now_ms);
+	waits[1] = false;
+	link_up(ENTRY + 10, "n");
+	receive_job(ENTRY + 10);
+	ck_assert_uint_eq(starts, 1);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_lost_entry", set_up, tear_down, test_lost_entry,
@@ -411,5 +450,6 @@
 			test_job_that_arrives_after_its_entry_was_lost,
 			test_two_runs_of_a_resent_job,
 			test_reset_link_ends_runs,
-			test_job_read_after_its_link_was_lost);
+			test_job_read_after_its_link_was_lost,
+			test_new_jobs_wait_for_an_entry_lost_long_ago);
 }
