core/tests: a resent job is given up for its earlier end

A job's caller hung up at one entry and sent it again to another one. The leader changes. If the first entry tells the new leader of the end before the second one hands the job over, lease_note_open_runs adds a record of a job that was given up, and the job that is handed over is answered with it; its run is stopped.

--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1196,6 +1196,25 @@
 }
 END_TEST
 
+/*
+ * The entry where the job ended first tells a new leader so, before the one
+ * that serves the caller now hands the job over.
+ */
+START_TEST(test_resent_job_is_given_up_for_its_earlier_end)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 1100,
+			     fake->now_ms);
+	job.handed = 1;
+	job.closed_in_ms = 1100;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->answer_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1232,5 +1251,6 @@
 		test_fenced_off_is_no_overload,
 		test_delayed_start_reaches_a_restarted_worker,
 		test_two_runs_after_a_refusal_while_another_leader_runs_the_job,
-		test_two_runs_after_the_record_of_an_older_end_expired);
+		test_two_runs_after_the_record_of_an_older_end_expired,
+		test_resent_job_is_given_up_for_its_earlier_end);
 }
