core/tests: the next leader keeps a job that the former one ended

An answer of the former leader that a cut has delayed ends the job at its entry, which does not cancel it at the leader that has it now. That one goes on, and may start its tasks. The record of the end counts as received there with the next beat, although no cancel was sent, so that a third leader is not told.

--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -28,6 +28,7 @@
 static bool answered[4];
 static uint32_t sent_jobs;
 static uint32_t sent_handed[4]; /* earlier leaders, by request */
+static uint32_t cancels; /* of any job, sent to LEADER + 1 */
 static uint64_t now_ms;
 
 static void port_answer(void *ctx, const struct lease_node_answer *answer)
@@ -41,7 +42,8 @@
 		      const Bergamot__Peer *msg)
 {
 	(void)ctx;
-	(void)incarnation;
+	cancels += incarnation == LEADER + 1 &&
+		   msg->body_case == BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL;
 	if (msg->body_case != BERGAMOT__PEER__BODY_QUEUE_JOB)
 		return;
 	sent_jobs++;
@@ -76,7 +78,7 @@
 
 	now_ms = 1000;
 	memset(answered, 0, sizeof(answered));
-	sent_jobs = 0;
+	sent_jobs = cancels = 0;
 	ports = (struct lease_node_ports){
 		.answer = port_answer,
 		.send = port_send,
@@ -200,11 +202,41 @@
 }
 END_TEST
 
+/*
+ * A leader's answer that a cut has delayed arrives when the next leader has the
+ * job: that one must not go on with it.
+ */
+START_TEST(test_next_leader_keeps_a_job_that_the_former_one_ended)
+{
+	Bergamot__QueueJobEnd end = BERGAMOT__QUEUE_JOB_END__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	link_member(LEADER, "leader");
+	link_member(LEADER + 1, "next");
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	submit(1, LONG_MS);
+	advance(700);
+	receive_beat(LEADER + 1, 6);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 2);
+	end.request = 1;
+	end.id = "bbbbbbbbbbbbbbbb";
+	end.end = LEASE_GIVEN_UP;
+	peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB_END;
+	peer.queue_job_end = &end;
+	lease_node_peer_message(node, LEADER, &peer, now_ms);
+	ck_assert(answered[1]);
+	ck_assert_uint_eq(cancels, 1);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_node_entry", set_up, tear_down,
 			test_useless_jobs_are_refused_at_once,
 			test_job_of_a_lost_leader_waits,
 			test_jobs_are_not_sent_to_a_quiet_leader,
-			test_jobs_are_sent_when_beats_come_again);
+			test_jobs_are_sent_when_beats_come_again,
+			test_next_leader_keeps_a_job_that_the_former_one_ended);
 }
