--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -231,6 +231,30 @@
 }
 END_TEST
 
+/* Links to hundreds of members come up when a cut has healed. */
+START_TEST(test_leader_is_told_of_an_end_once_for_each_link)
+{
+	static char names[10][4];
+
+	link_member(LEADER, "leader");
+	link_member(LEADER + 1, "next");
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	submit(1, LONG_MS);
+	advance(100);
+	lease_node_caller_disconnected(node, 1, now_ms);
+	advance(600);
+	receive_beat(LEADER + 1, 6);
+	advance(TICK_MS);
+	ck_assert_uint_eq(cancels, 1);
+	for (int i = 0; i < 10; i++) {
+		names[i][0] = (char)('a' + i);
+		link_member((uint64_t)(100 + i), names[i]);
+	}
+	ck_assert_uint_eq(cancels, 1);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_node_entry", set_up, tear_down,
@@ -238,5 +262,6 @@
 			test_job_of_a_lost_leader_waits,
 			test_jobs_are_not_sent_to_a_quiet_leader,
 			test_jobs_are_sent_when_beats_come_again,
-			test_next_leader_keeps_a_job_that_the_former_one_ended);
+			test_next_leader_keeps_a_job_that_the_former_one_ended,
+			test_leader_is_told_of_an_end_once_for_each_link);
 }
