core/tests: the next leader is told of a job that ended long ago

A record of an ended job whose leader is this instance itself never expires: has_received looks for a member with the own incarnation, and there is none. It is kept while this instance leads; the next leader is then told that runs of the job may be open for 1.1 s.

--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -255,6 +255,38 @@
 }
 END_TEST
 
+/* A job that ended here long ago is no news to the next leader. */
+START_TEST(test_next_leader_is_told_of_a_job_that_ended_long_ago)
+{
+	Bergamot__LeaderBeat beat = BERGAMOT__LEADER_BEAT__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	link_member(LEADER, "leader");
+	link_member(LEADER + 1, "next");
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	lease_node_worker_list_complete(node, now_ms);
+	for (int i = 0; i < 30; i++) {
+		receive_beat(LEADER, 5);
+		advance(100);
+	}
+	submit(1, LONG_MS);
+	lease_node_peer_down(node, LEADER, now_ms);
+	advance(1000);
+	ck_assert(lease_node_leads(node));
+	lease_node_caller_disconnected(node, 1, now_ms);
+	advance(20000);
+	beat.claim = beat.highest_claim = UINT64_C(1790000900000) << 12;
+	beat.majority = true;
+	peer.body_case = BERGAMOT__PEER__BODY_LEADER_BEAT;
+	peer.leader_beat = &beat;
+	lease_node_peer_message(node, LEADER + 1, &peer, now_ms);
+	advance(2 * TICK_MS);
+	ck_assert(!lease_node_leads(node));
+	ck_assert_uint_eq(cancels, 0);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_node_entry", set_up, tear_down,
@@ -263,5 +295,6 @@
 			test_jobs_are_not_sent_to_a_quiet_leader,
 			test_jobs_are_sent_when_beats_come_again,
 			test_next_leader_keeps_a_job_that_the_former_one_ended,
-			test_leader_is_told_of_an_end_once_for_each_link);
+			test_leader_is_told_of_an_end_once_for_each_link,
+			test_next_leader_is_told_of_a_job_that_ended_long_ago);
 }
