core/tests: a worker is fenced by its own leader after a long lapse

The fence step of a worker is lost when its entry in the pool is removed: 30 s after its registration lapsed, or 3 s if it drained. If the same process is registered again, it refuses its own leader's token, counts as obeying another instance, and is not used until the claim is raised, which a leader without a majority never does.

--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1215,6 +1215,27 @@
 }
 END_TEST
 
+/*
+ * The registration of a worker that has restarted lapses for long; the worker
+ * goes on, and knows a token above the leader's own.
+ */
+START_TEST(test_worker_is_fenced_by_its_own_leader_after_a_long_lapse)
+{
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 8);
+	fake_orders_advance(fake, 5000);
+	fake_orders_restart_worker(fake, "w1", 2);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	ck_assert_uint_eq(last_hold("w1")->fence, 9);
+	pool_unregister_worker(lease_pool(fake->dispatch), "w1", fake->now_ms);
+	fake_orders_advance(fake, POOL_LONGEST_PARTITION_MS + 1000);
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_ge(last_hold("w1")->fence, 9);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1252,5 +1273,6 @@
 		test_delayed_start_reaches_a_restarted_worker,
 		test_two_runs_after_a_refusal_while_another_leader_runs_the_job,
 		test_two_runs_after_the_record_of_an_older_end_expired,
-		test_resent_job_is_given_up_for_its_earlier_end);
+		test_resent_job_is_given_up_for_its_earlier_end,
+		test_worker_is_fenced_by_its_own_leader_after_a_long_lapse);
 }
