core/tests: two runs after a freeze of the leader of a lost entry

Callers would see: a task that runs twice at once, without having sent the job again. Jobs of a lost entry are given up by the tick only. After a freeze in which that time passes, the answer to a hold is read first and the next hold renews the lease, 0.55 s after the entry's jobs should have been given up. If the leader then loses its claim, is killed or frozen again before it has stopped the run, that lease outlasts the time that the entry counts on.

--- a/packages/core/tests/test_lease_lost_entry.c
+++ b/packages/core/tests/test_lease_lost_entry.c
@@ -440,6 +440,25 @@
 }
 END_TEST
 
+/*
+ * The time to give up the entry's jobs passes during a pause. Answers that have
+ * arrived meanwhile are read before the timer runs.
+ */
+START_TEST(test_pause_over_the_end_keeps_no_lost_entry)
+{
+	uint64_t last_beat_ms;
+
+	begin_job();
+	advance_with_beats(500, true);
+	receive_beat(ENTRY, 0);
+	last_beat_ms = now_ms;
+	advance_with_beats(1400, false);
+	now_ms += 700;
+	answer_holds();
+	ck_assert_uint_le(last_deadline_ms, last_beat_ms + CLOSED_MS);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_lost_entry", set_up, tear_down, test_lost_entry,
@@ -451,5 +470,6 @@
 			test_two_runs_of_a_resent_job,
 			test_reset_link_ends_runs,
 			test_job_read_after_its_link_was_lost,
-			test_new_jobs_wait_for_an_entry_lost_long_ago);
+			test_new_jobs_wait_for_an_entry_lost_long_ago,
+			test_pause_over_the_end_keeps_no_lost_entry);
 }
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -80,6 +80,13 @@
 }
 END_TEST
 
+/* Its leader is frozen while the time passes to give up the entry's jobs. */
+START_TEST(test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry)
+{
+	check_one_run("1 0 0 0 0 0 823:partition(2,2) 2250:freeze(0,700)");
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -91,5 +98,6 @@
 		test_two_runs_after_a_kill_beside_a_new_worker,
 		test_two_runs_after_an_entry_stopped_beside_a_cut,
 		test_two_runs_after_a_silent_entry_was_lost,
-		test_two_runs_after_the_entry_was_lost_long_after_a_cut);
+		test_two_runs_after_the_entry_was_lost_long_after_a_cut,
+		test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry);
 }
