--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1142,6 +1142,104 @@
 }
 END_TEST
 
+/*
+ * A job that its caller has sent again waits for another leader's runs and is
+ * refused as too late. Its caller sends it once more.
+ */
+START_TEST(test_two_runs_after_a_refusal_while_another_leader_runs_the_job)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_advance(fake, 100);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 2600,
+			     fake->now_ms);
+	/* The run is on w2, which this leader does not reach. */
+	pool_doubt_worker(lease_pool(fake->dispatch), "w2", fake->now_ms);
+	job.objective_ms = 200;
+	fake_orders_submit(fake, &job);
+	for (int i = 0; i < 100 && !fake->answer_count; i++)
+		fake_orders_advance(fake, 10);
+	ck_assert_uint_eq(fake->start_count, 0);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_REFUSED);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->start_count, 0);
+}
+END_TEST
+
+/* The record of a job's end is younger than the news of its open runs. */
+START_TEST(test_two_runs_after_the_record_of_an_older_end_expired)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_lead(fake, 5);
+	job.remaining_ms = 2000;
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	lease_cancel(fake->dispatch, &job.waiter, ID, fake->now_ms);
+	fake_orders_answer_stop(fake, &fake->stops[0], POOL_OK);
+	for (int i = 0; i < 290; i++) {
+		fake_orders_advance(fake, 10);
+		fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+		fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
+	}
+	ck_assert_uint_eq(fake->start_count, 1);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 2600,
+			     fake->now_ms);
+	pool_doubt_worker(lease_pool(fake->dispatch), "w2", fake->now_ms);
+	fake_orders_advance(fake, 200);
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->start_count, 1);
+}
+END_TEST
+
+/*
+ * The entry where the job ended first tells a new leader so, before the one
+ * that serves the caller now hands the job over.
+ */
+START_TEST(test_resent_job_is_given_up_for_its_earlier_end)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	lease_note_open_runs(fake->dispatch, ID, fake->now_ms + 1100,
+			     fake->now_ms);
+	job.handed = 1;
+	job.closed_in_ms = 1100;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->answer_count, 0);
+}
+END_TEST
+
+/*
+ * The registration of a worker that has restarted lapses for long; the worker
+ * goes on, and knows a token above the leader's own.
+ */
+START_TEST(test_worker_is_fenced_by_its_own_leader_after_a_long_lapse)
+{
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 8);
+	fake_orders_advance(fake, 5000);
+	fake_orders_restart_worker(fake, "w1", 2);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
+	ck_assert_uint_eq(last_hold("w1")->fence, 9);
+	pool_unregister_worker(lease_pool(fake->dispatch), "w1", fake->now_ms);
+	fake_orders_advance(fake, POOL_LONGEST_PARTITION_MS + 1000);
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_ge(last_hold("w1")->fence, 9);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -1176,5 +1274,9 @@
 		test_slow_answers_are_not_looked_up, test_slow_start_goes_on,
 		test_jobs_handed_over_are_no_arrivals,
 		test_fenced_off_is_no_overload,
-		test_delayed_start_reaches_a_restarted_worker);
+		test_delayed_start_reaches_a_restarted_worker,
+		test_two_runs_after_a_refusal_while_another_leader_runs_the_job,
+		test_two_runs_after_the_record_of_an_older_end_expired,
+		test_resent_job_is_given_up_for_its_earlier_end,
+		test_worker_is_fenced_by_its_own_leader_after_a_long_lapse);
 }
