core: a worker that is registered again keeps its higher token

Callers would see: a worker that gets no task for seconds, or for good in a data centre that is cut off. Cause: the step of a worker's token is lost when it leaves the pool, 30 s after its registration lapsed. If the same process registers again, it refuses the lower token of its own leader and counts as obeying another instance. Change: workers that are added begin with the highest step of those removed.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -236,6 +236,8 @@
 
 static void free_worker(struct lease_pool *pool, struct pool_worker *worker)
 {
+	if (worker->fence_step > pool->removed_fence_step)
+		pool->removed_fence_step = worker->fence_step;
 	TAILQ_REMOVE(&pool->workers, worker, entry);
 	HASH_REMOVE(pool->by_id, worker);
 	if (pool->by_key)
@@ -249,6 +251,7 @@
 	struct pool_worker *worker = talloc_zero(pool, struct pool_worker);
 
 	worker->id = talloc_strdup(worker, id);
+	worker->fence_step = pool->removed_fence_step;
 	worker->key = crash_worker_key(id);
 	worker->speed = 1.0;
 	LIST_INIT(&worker->runs);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -212,6 +212,7 @@
 	struct pool_worker *worker;
 
 	pool->fence = fence;
+	pool->removed_fence_step = 0;
 	pool->probed_ms = now_ms;
 	pool->probe_due_ms = 0;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -57,6 +57,7 @@
 	uint64_t next_serial;
 	uint64_t fence; /* 0: this instance does not lead */
 	uint64_t probed_ms; /* when all workers were last probed */
+	uint32_t removed_fence_step; /* the highest of a removed worker */
 	uint64_t probe_due_ms; /* of the next such probe; 0: none */
 	uint64_t ticked_ms;
 	/* Moving averages over starts; the first two over answered ones. */
