core: after a pause jobs of lost entries are given up before leases are renewed

Callers would see: a task that runs twice at once, without having sent the job again. Cause: jobs of a lost entry were given up by the tick alone. After a freeze in which that time passes, an answer to a hold is read first, and the next hold renews the lease 0.55 s after the jobs should have been given up. Change: the check for a pause, first on each event, expires entries and gives up what is due. Before / after: that test fails / passes (others of its program are known red).

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -1109,6 +1109,16 @@
 		stop_hung(dispatch, job, now_ms);
 }
 
+void lease_abandon_due(struct lease_dispatch *dispatch, uint64_t now_ms)
+{
+	struct lease_job *job, *next;
+
+	HASH_ITER(hh, dispatch->jobs, job, next)
+		if (job->abandon_at_ms && job->abandon_at_ms <= now_ms)
+			lease_finish(dispatch, job, LEASE_GIVEN_UP,
+				     LEASE_NO_REASON, now_ms);
+}
+
 static void expire_finished(struct lease_dispatch *dispatch, uint64_t before_ms)
 {
 	struct finished *f, *next;
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -159,6 +159,12 @@
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
 			uint64_t lost_ms, uint64_t keep_ms);
 
+/*
+ * Gives up the jobs of lost entries that are due. lease_tick does so, too; to
+ * be called first after a pause, before an answer to a hold renews a lease.
+ */
+void lease_abandon_due(struct lease_dispatch *dispatch, uint64_t now_ms);
+
 /*
  * Notes that a job which its caller may send again can have open runs of other
  * leaders until over_ms.
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -31,6 +31,22 @@
 
 /* Pauses */
 
+/* Reports instances that no longer count us as live to the dispatcher. */
+static void expire_entries(struct lease_node *lease_node, uint64_t now_ms)
+{
+	struct leader_member *m;
+
+	if (!lease_node->claim)
+		return;
+	for (m = leader_members(lease_node->members); m; m = m->hh.next) {
+		if (!m->valid_until_ms || m->valid_until_ms > now_ms)
+			continue;
+		lease_remove_entry(lease_node->dispatch, m->incarnation,
+				   m->valid_until_ms, LEASE_ABANDON_MS);
+		m->valid_until_ms = 0;
+	}
+}
+
 /*
  * After a pause of the process another instance may lead. No task starts until
  * its beats have had time to arrive.
@@ -46,6 +62,8 @@
 			    gap_ms, HOLD_BACK_MS);
 		counter_add(COUNTER_PAUSES, 1);
 		leader_note_pause(lease_node->members);
+		expire_entries(lease_node, now_ms);
+		lease_abandon_due(lease_node->dispatch, now_ms);
 #ifndef BREAK_HOLD_BACK
 		lease_defer_starts(lease_node->dispatch, now_ms + HOLD_BACK_MS);
 #endif
@@ -55,22 +73,6 @@
 
 /* Leading */
 
-/* Reports instances that no longer count us as live to the dispatcher. */
-static void expire_entries(struct lease_node *lease_node, uint64_t now_ms)
-{
-	struct leader_member *m;
-
-	if (!lease_node->claim)
-		return;
-	for (m = leader_members(lease_node->members); m; m = m->hh.next) {
-		if (!m->valid_until_ms || m->valid_until_ms > now_ms)
-			continue;
-		lease_remove_entry(lease_node->dispatch, m->incarnation,
-				   m->valid_until_ms, LEASE_ABANDON_MS);
-		m->valid_until_ms = 0;
-	}
-}
-
 static void release_lead(struct lease_node *lease_node, uint64_t now_ms)
 {
 	lease_release(lease_node->dispatch);
