core: new jobs do not wait for an entry that was lost long ago

Callers would see: jobs that wait for a look at all workers, or for up to 2.6 s, after each change of the leader. Cause: the time of the loss was never forgotten. Change: it counts for as long as another leader may run jobs of that entry (2.6 s).

--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -268,7 +268,8 @@
 	uint64_t until_ms = 0;
 	struct leader_member *m;
 
-	if (!lease_node->claim || !lease_node->entry_lost_ms)
+	if (!lease_node->claim || !lease_node->entry_lost_ms ||
+	    now_ms - lease_node->entry_lost_ms >= CLOSED_MS)
 		return;
 	for (m = leader_members(lease_node->members); m; m = m->hh.next)
 		if (m->claim && m->last_beat_ms + CLOSED_MS > until_ms)
