core: what is noted of jobs that ended at their entry

Callers would see: a resent job answered as given up for its earlier end; a task that runs twice at once after a refusal, or after 3 s; runs of a job that its entry has ended. Causes and changes, all in what entries and leaders note of ended jobs: a note is no result of the job; it is kept for 30 s from the last word, and beyond a refusal; an entry tells each leader once, forgets what this instance itself has cancelled, and cancels a job that a former leader ends at the leader that has it now.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -164,6 +164,27 @@
 	HASH_ADD_STR(dispatch->finished, id, f);
 }
 
+/* Keeps the time by which other leaders' runs of a job have ended. */
+static void keep_note(struct lease_dispatch *dispatch, const char *id,
+		      uint64_t over_ms, uint64_t now_ms)
+{
+	struct finished *f;
+
+	HASH_FIND_STR(dispatch->finished, id, f);
+	if (!f) {
+		f = talloc_zero(dispatch, struct finished);
+		snprintf(f->id, sizeof(f->id), "%s", id);
+		f->end = LEASE_GIVEN_UP;
+		f->is_note = true;
+	} else {
+		HASH_DEL(dispatch->finished, f);
+	}
+	if (over_ms > f->earlier_runs_over_ms)
+		f->earlier_runs_over_ms = over_ms;
+	f->until_ms = now_ms + MAX_FINISHED_KEEP_MS;
+	HASH_ADD_STR(dispatch->finished, id, f);
+}
+
 static void send_answer(struct lease_dispatch *dispatch,
 			const struct lease_waiter *waiter, const char *id,
 			enum lease_end end, enum lease_reason reason,
@@ -196,6 +217,8 @@
 			    random_below(&dispatch->random, RETRY_SPREAD_MS));
 	if (end != LEASE_REFUSED)
 		add_finished(dispatch, job, end, reason, now_ms);
+	else if (job->earlier_runs_over_ms > now_ms)
+		keep_note(dispatch, job->id, job->earlier_runs_over_ms, now_ms);
 	abandon_runs(dispatch, job, now_ms);
 	free_job(dispatch, job);
 }
@@ -485,8 +508,10 @@
 	struct finished *f;
 
 	HASH_FIND_STR(dispatch->finished, from->id, f);
+	if (!f || f->is_note)
+		return NULL;
 	/* A job that the caller has sent again may run again. */
-	return f && f->end == LEASE_GIVEN_UP && !from->handed ? NULL : f;
+	return f->end == LEASE_GIVEN_UP && !from->handed ? NULL : f;
 }
 
 /*
@@ -678,7 +703,6 @@
 			  uint64_t over_ms, uint64_t now_ms)
 {
 	struct lease_job *job = find_job(dispatch, id);
-	struct finished *f;
 
 	if (job) {
 		if (over_ms <= job->earlier_runs_over_ms)
@@ -687,16 +711,7 @@
 		probe_for(dispatch, job, now_ms);
 		return;
 	}
-	HASH_FIND_STR(dispatch->finished, id, f);
-	if (!f) {
-		f = talloc_zero(dispatch, struct finished);
-		snprintf(f->id, sizeof(f->id), "%s", id);
-		f->end = LEASE_GIVEN_UP;
-		f->until_ms = now_ms + MAX_FINISHED_KEEP_MS;
-		HASH_ADD_STR(dispatch->finished, id, f);
-	}
-	if (over_ms > f->earlier_runs_over_ms)
-		f->earlier_runs_over_ms = over_ms;
+	keep_note(dispatch, id, over_ms, now_ms);
 	log_info(LOG_JOB,
 		 "job %s: has ended at its entry; another leader's runs may be "
 		 "open for %" PRIu64 " ms",
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -83,6 +83,7 @@
 	enum lease_end end;
 	enum lease_reason reason;
 	uint64_t earlier_runs_over_ms; /* as of the job; may have passed */
+	bool is_note; /* it tells earlier_runs_over_ms only, and is no result */
 	uint64_t until_ms;
 };
 
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -76,16 +76,17 @@
 		      const struct lease_node_job *job, uint64_t now_ms)
 {
 	struct lease_node_ended *ended;
+	uint64_t leader = job->sent_to;
 
-	if ((!job->sent_to ||
-	     job->sent_to == lease_node->options.incarnation) &&
-	    job->closed_ms <= now_ms)
+	if (leader == lease_node->options.incarnation)
+		leader = 0; /* it has cancelled the job */
+	if (!leader && job->closed_ms <= now_ms)
 		return;
 	ended = talloc_zero(lease_node, struct lease_node_ended);
 	ended->request = job->request;
 	memcpy(ended->id, job->id, sizeof(ended->id));
 	ended->ended_ms = now_ms;
-	ended->leader = job->sent_to;
+	ended->leader = leader;
 	ended->closed_ms = job->closed_ms;
 	TAILQ_INSERT_TAIL(&lease_node->ended, ended, entry);
 }
@@ -214,12 +215,13 @@
 }
 
 static void tell_ended(struct lease_node *lease_node,
-		       const struct lease_node_ended *ended, uint64_t now_ms)
+		       struct lease_node_ended *ended, uint64_t now_ms)
 {
 	uint64_t leader = lease_node->leader;
 
-	if (ended->closed_ms <= now_ms)
+	if (ended->closed_ms <= now_ms || ended->told == leader)
 		return;
+	ended->told = leader;
 	if (leader == lease_node->options.incarnation)
 		lease_note_open_runs(lease_node->dispatch, ended->id,
 				     ended->closed_ms, now_ms);
@@ -385,6 +387,17 @@
 	talloc_free(job);
 }
 
+void lease_node_cancel_elsewhere(struct lease_node *lease_node,
+				 uint64_t request, uint64_t former,
+				 uint64_t now_ms)
+{
+	struct lease_node_job *job;
+
+	HASH_FIND(hh, lease_node->jobs, &request, sizeof(request), job);
+	if (job && job->sent_to != former)
+		cancel_at(lease_node, job, job->sent_to, now_ms);
+}
+
 void lease_node_job_ended(struct lease_node *lease_node,
 			  const struct lease_node_answer *answer)
 {
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -459,7 +459,7 @@
 }
 
 static void on_end(struct lease_node *lease_node, uint64_t from,
-		   const Bergamot__QueueJobEnd *msg)
+		   const Bergamot__QueueJobEnd *msg, uint64_t now_ms)
 {
 	struct lease_node_answer answer = {
 		.request = msg->request,
@@ -471,6 +471,7 @@
 	if (msg->end >= LEASE_END_COUNT || msg->reason >= LEASE_REASON_COUNT ||
 	    is_misdirected(lease_node, from, msg))
 		return;
+	lease_node_cancel_elsewhere(lease_node, msg->request, from, now_ms);
 	lease_node_job_ended(lease_node, &answer);
 }
 
@@ -502,7 +503,7 @@
 		on_job(lease_node, from, msg->queue_job, now_ms);
 		break;
 	case BERGAMOT__PEER__BODY_QUEUE_JOB_END:
-		on_end(lease_node, from, msg->queue_job_end);
+		on_end(lease_node, from, msg->queue_job_end, now_ms);
 		break;
 	case BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL:
 		on_cancel(lease_node, from, msg->queue_job_cancel, now_ms);
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -44,6 +44,7 @@
 	uint64_t ended_ms;
 	uint64_t leader; /* which was sent the cancel; 0: it was left */
 	uint64_t closed_ms; /* by when former leaders' runs have ended */
+	uint64_t told; /* the last leader that was told; 0: none */
 };
 
 struct lease_node_address {
@@ -112,6 +113,13 @@
 /* Ends jobs past their deadline. */
 void lease_node_expire_jobs(struct lease_node *lease_node, uint64_t now_ms);
 
+/*
+ * Cancels a job that a former leader has ended at the leader that has it now.
+ */
+void lease_node_cancel_elsewhere(struct lease_node *lease_node,
+				 uint64_t request, uint64_t former,
+				 uint64_t now_ms);
+
 /* Answers a job as the leader says. */
 void lease_node_job_ended(struct lease_node *lease_node,
 			  const struct lease_node_answer *answer);
