--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -379,6 +379,20 @@
 }
 END_TEST
 
+/* An entry that stops as planned answers while its leader is cut off. */
+START_TEST(test_two_runs_after_an_entry_stopped_beside_a_cut)
+{
+	check_one_run("1 2 0 0 0 0 300:stop(1,0) 1750:partition(1,1)");
+}
+END_TEST
+
+/* Its leader is frozen while the time passes to give up the entry's jobs. */
+START_TEST(test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry)
+{
+	check_one_run("1 0 0 0 0 0 823:partition(2,2) 2250:freeze(0,700)");
+}
+END_TEST
+
 /* The next leader has not read the registration of a worker that is new. */
 START_TEST(test_two_runs_after_a_stop_beside_a_new_worker)
 {
@@ -462,6 +476,9 @@
 	tcase_add_test(tc, test_two_runs_after_a_cancel_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_drained_worker_was_not_listed);
 	tcase_add_test(tc, test_two_runs_after_an_entry_has_stopped_in_a_cut);
+	tcase_add_test(tc, test_two_runs_after_an_entry_stopped_beside_a_cut);
+	tcase_add_test(
+		tc, test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry);
 	tcase_add_test(tc, test_two_runs_after_a_stop_beside_a_new_worker);
 	tcase_add_test(tc, test_two_runs_after_a_kill_beside_a_new_worker);
 	tcase_add_test(tc, test_two_runs_in_any_order);
--- a/packages/core/tests/test_lease_two_runs.c
+++ b/packages/core/tests/test_lease_two_runs.c
@@ -45,13 +45,6 @@
 }
 END_TEST
 
-/* An entry that stops as planned answers while its leader is cut off. */
-START_TEST(test_two_runs_after_an_entry_stopped_beside_a_cut)
-{
-	check_one_run("1 2 0 0 0 0 300:stop(1,0) 1750:partition(1,1)");
-}
-END_TEST
-
 /* No instance sees that the entry's link is lost: it is silent, then ends. */
 START_TEST(test_two_runs_after_a_silent_entry_was_lost)
 {
@@ -71,13 +64,6 @@
 }
 END_TEST
 
-/* Its leader is frozen while the time passes to give up the entry's jobs. */
-START_TEST(test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry)
-{
-	check_one_run("1 0 0 0 0 0 823:partition(2,2) 2250:freeze(0,700)");
-}
-END_TEST
-
 int main(void)
 {
 	return RUN_CASE(
@@ -85,8 +71,6 @@
 		test_two_runs_after_a_cancel_was_lost_and_its_entry_froze,
 		test_two_runs_after_a_cancel_was_lost_between_two_cuts,
 		test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader,
-		test_two_runs_after_an_entry_stopped_beside_a_cut,
 		test_two_runs_after_a_silent_entry_was_lost,
-		test_two_runs_after_the_entry_was_lost_long_after_a_cut,
-		test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry);
+		test_two_runs_after_the_entry_was_lost_long_after_a_cut);
 }
