core: a rack has a second to answer from the worker's restart on

Cause: an unconfirmed crash whose worker restarted was dropped at once, where the crash was noted over 1 s before and others of the rack had not answered yet. Change: they have 1 s from the restart.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -282,13 +282,16 @@
 				const struct pool_worker *worker,
 				const struct crash_note *crash, uint64_t now_ms)
 {
+	uint64_t since_ms = crash->noted_ms;
+
 	if (worker->draining)
 		return FATE_LIVES;
 	if (pool_rack_state(dispatch->pool, worker, crash->noted_ms) !=
 	    POOL_RACK_LOST)
 		return FATE_CRASHED;
-	return now_ms - crash->noted_ms > RACK_ANSWERS_MS ? FATE_LIVES
-							  : FATE_UNKNOWN;
+	if (worker->restarted_ms > since_ms)
+		since_ms = worker->restarted_ms;
+	return now_ms - since_ms > RACK_ANSWERS_MS ? FATE_LIVES : FATE_UNKNOWN;
 }
 
 static enum fate find_fate(struct lease_dispatch *dispatch,
