--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -1167,7 +1167,7 @@
 }
 END_TEST
 
-/* The record of a job's end is younger than the news of its open runs. */
+/* The record of a job's end is older than the news of its open runs. */
 START_TEST(test_two_runs_after_the_record_of_an_older_end_expired)
 {
 	struct lease_submission job = fake_orders_submission(ID, 1);
