--- a/packages/core/tests/test_lease_restart.c
+++ b/packages/core/tests/test_lease_restart.c
@@ -12,8 +12,8 @@
 	uint32_t direct_workers;
 	bool more_resends;
 } failed[] = {
-	{ 510, 0, false }, { 730, 0, false }, { 102, 0, true },
-	{ 1168, 0, true }, { 523, 1, true },  { 1500, 1, true },
+	{ 182, 0, false }, { 545, 0, false }, { 175, 0, true },
+	{ 358, 1, true },  { 523, 1, true },
 };
 
 START_TEST(test_two_runs_after_a_delayed_order)
