--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -500,7 +500,7 @@
 	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
 	tcase_add_test(alone, test_worker_that_crashes_by_itself_fails_no_job);
 	suite_add_tcase(suite, alone);
-	for (size_t i = 0; i < sizeof(plays) / sizeof(*plays); i++) {
+	for (size_t i = 0; i < sizeof(plays) / sizeof(plays[0]); i++) {
 		TCase *site = tcase_create(plays[i]->name);
 
 		tcase_set_timeout(site, 60);
--- a/packages/core/tests/test_lease_long.c
+++ b/packages/core/tests/test_lease_long.c
@@ -27,7 +27,7 @@
 /* The same where callers resend more, with relays. */
 static const uint64_t failed_resends[] = { 1027, 1970, 2849, 3857, 4577, 5003 };
 
-#define COUNT(list) ((int)(sizeof(list) / sizeof(*list)))
+#define COUNT(list) ((int)(sizeof(list) / sizeof((list)[0])))
 
 static bool is_listed(const char *list, uint64_t seed)
 {
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -249,7 +249,7 @@
 	ck_assert_uint_eq(cancels, 1);
 	for (int i = 0; i < 10; i++) {
 		names[i][0] = (char)('a' + i);
-		link_member((uint64_t)(100 + i), names[i]);
+		link_member(100 + (uint64_t)i, names[i]);
 	}
 	ck_assert_uint_eq(cancels, 1);
 }
