--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -4,11 +4,12 @@
 #include <stdint.h>
 
 /*
- * Clocks. Decisions use the monotonic clock only, and its readings are never
- * compared between instances. It includes time in which the machine was
- * suspended: what others may take for granted lapses meanwhile. The wall clock
- * is used in logs and in an instance's first claim to leadership, which it
- * makes higher than the claims of earlier incarnations (core/leader_member.h).
+ * Clocks. Decisions use the monotonic clock only. Its readings are not compared
+ * between instances, but for a lower bound of an order's age (leader_clock_of).
+ * It includes time in which the machine was suspended: what others may take for
+ * granted lapses meanwhile. The wall clock is used in logs and in an instance's
+ * first claim to leadership, which it makes higher than the claims of earlier
+ * incarnations (core/leader_member.h).
  *
  * tevent timers also run on the monotonic clock in each program that links
  * this module.
--- a/packages/core/crash_record.h
+++ b/packages/core/crash_record.h
@@ -47,7 +47,7 @@
 	struct crash_note crashes[CRASH_RECORD_MAX_CRASHES];
 	uint32_t count;
 	uint64_t until_ms;
-	bool is_unsent; /* changed here, not told to other members yet */
+	bool is_unsent; /* changed here, not sent to other members yet */
 };
 
 /* What a task's crashes mean for its next start. */
@@ -116,7 +116,7 @@
 		       struct crash_record *record);
 bool crash_has_unsent(const struct crash_records *records);
 
-/* Marks all records as told to other members. */
+/* Marks all records as sent to other members. */
 void crash_mark_all_sent(struct crash_records *records);
 
 /* Returns a stable word for a verdict, for logs. */
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -282,7 +282,7 @@
 
 	end_running(task);
 	if (task->verdict != CRASH_NONE || job->handed)
-		lease_tell_end(dispatch, run, how, now_ms);
+		lease_announce_end(dispatch, run, how, now_ms);
 	if (how == POOL_DONE) {
 		counter_add(COUNTER_TASKS_DONE, 1);
 		note_done(task, now_ms);
@@ -476,8 +476,8 @@
 	run->task = task;
 	run->demand = job->steps[task->step].demand;
 	run->estimate_ms = job->steps[task->step].estimate_ms;
-	lease_tell_start(job->dispatch, run->name, run->worker, false,
-			 run->answered_ms);
+	lease_announce_start(job->dispatch, run->name, run->worker, false,
+			     run->answered_ms);
 	return true;
 }
 
@@ -897,8 +897,8 @@
 	memcpy(run.job, job->id, sizeof(run.job));
 	begin_running(task);
 	if (task->verdict != CRASH_NONE || job->handed)
-		lease_tell_start(dispatch, run.name, worker,
-				 task->verdict != CRASH_NONE, now_ms);
+		lease_announce_start(dispatch, run.name, worker,
+				     task->verdict != CRASH_NONE, now_ms);
 	task->run = pool_start(dispatch->pool, worker, &run, job->text, now_ms);
 }
 
@@ -1182,7 +1182,7 @@
 {
 	struct lease_job *job, *next;
 
-	lease_tell_open_runs(dispatch);
+	lease_announce_open_runs(dispatch);
 	pool_release(dispatch->pool);
 	dispatch->reserved = 0;
 	HASH_ITER(hh, dispatch->jobs, job, next)
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -202,7 +202,7 @@
 struct crash_records *lease_crashes(struct lease_dispatch *dispatch);
 
 /*
- * Returns the runs that members which may lead next have to be told of, as
+ * Returns the runs that are to be announced to members which may lead next, as
  * unconfirmed crashes; to be cleared then.
  */
 struct crash_records *lease_crashes_ahead(struct lease_dispatch *dispatch);
--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -136,9 +136,9 @@
 	unreserve(dispatch, worker);
 }
 
-void lease_tell_start(struct lease_dispatch *dispatch, const char *task,
-		      const struct pool_worker *worker, bool is_alone,
-		      uint64_t now_ms)
+void lease_announce_start(struct lease_dispatch *dispatch, const char *task,
+			  const struct pool_worker *worker, bool is_alone,
+			  uint64_t now_ms)
 {
 	struct crash_note crash = {
 		.worker = worker->key,
@@ -157,7 +157,7 @@
 		crash_put(dispatch->ahead, task, &crash);
 }
 
-void lease_tell_open_runs(struct lease_dispatch *dispatch)
+void lease_announce_open_runs(struct lease_dispatch *dispatch)
 {
 	const struct pool_worker *worker;
 	const struct pool_run *run;
@@ -177,8 +177,9 @@
 	}
 }
 
-void lease_tell_end(struct lease_dispatch *dispatch, const struct pool_run *run,
-		    enum pool_end how, uint64_t now_ms)
+void lease_announce_end(struct lease_dispatch *dispatch,
+			const struct pool_run *run, enum pool_end how,
+			uint64_t now_ms)
 {
 	struct crash_note crash = {
 		.worker = run->worker->key,
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -117,7 +117,7 @@
 	uint64_t loads_counted_ms; /* time of the last lease_refresh_loads */
 	uint64_t next_shed_ms;
 	struct crash_records *crashes;
-	struct crash_records *ahead; /* not told to the next leader yet */
+	struct crash_records *ahead; /* not announced yet */
 	struct crash_records *unlikely; /* of workers silent with their rack */
 	bool has_guilty; /* a task whose job is to be given up */
 	uint64_t next_expire_ms; /* of crashes */
@@ -169,21 +169,22 @@
 				     const struct place_request *request);
 
 /*
- * Tells the next leader of a run before it ends, as an unconfirmed crash: of a
- * suspect's, or of a job that was handed over. If this leader is lost before it
- * learns that the worker crashed, the next one sees that by the worker's start
- * time.
+ * Announces a run to the next leader before it ends, as an unconfirmed crash:
+ * of a suspect's, or of a job that was handed over. If this leader is lost
+ * before it learns that the worker crashed, the next one sees that by the
+ * worker's start time.
  */
-void lease_tell_start(struct lease_dispatch *dispatch, const char *task,
-		      const struct pool_worker *worker, bool is_alone,
-		      uint64_t now_ms);
+void lease_announce_start(struct lease_dispatch *dispatch, const char *task,
+			  const struct pool_worker *worker, bool is_alone,
+			  uint64_t now_ms);
 
-/* Tells the next leader of all open runs; called before they are dropped. */
-void lease_tell_open_runs(struct lease_dispatch *dispatch);
+/* Announces all open runs; called before they are dropped. */
+void lease_announce_open_runs(struct lease_dispatch *dispatch);
 
-/* Tells the next leader that such a run has ended, unless with its worker. */
-void lease_tell_end(struct lease_dispatch *dispatch, const struct pool_run *run,
-		    enum pool_end how, uint64_t now_ms);
+/* Announces that such a run has ended, unless with its worker. */
+void lease_announce_end(struct lease_dispatch *dispatch,
+			const struct pool_run *run, enum pool_end how,
+			uint64_t now_ms);
 
 /*
  * Confirms or withdraws crashes by what is known of the workers now, gives up
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -214,14 +214,14 @@
 	return m && m->linked && m->valid_until_ms > sent_ms + LEADER_VALID_MS;
 }
 
-static void tell_ended(struct lease_node *lease_node,
-		       struct lease_node_ended *ended, uint64_t now_ms)
+static void announce_ended(struct lease_node *lease_node,
+			   struct lease_node_ended *ended, uint64_t now_ms)
 {
 	uint64_t leader = lease_node->leader;
 
-	if (ended->closed_ms <= now_ms || ended->told == leader)
+	if (ended->closed_ms <= now_ms || ended->announced_to == leader)
 		return;
-	ended->told = leader;
+	ended->announced_to = leader;
 	if (leader == lease_node->options.incarnation)
 		lease_note_open_runs(lease_node->dispatch, ended->id,
 				     ended->closed_ms, now_ms);
@@ -230,8 +230,8 @@
 				       ended->closed_ms - now_ms, leader);
 }
 
-/* Tells a new leader which jobs have ended here, but perhaps not elsewhere. */
-static void tell_all_ended(struct lease_node *lease_node, uint64_t now_ms)
+/* Announces to a new leader the jobs that may be open at a former one. */
+static void announce_all_ended(struct lease_node *lease_node, uint64_t now_ms)
 {
 	struct lease_node_ended *ended;
 	uint64_t closed_ms;
@@ -245,7 +245,7 @@
 			ended->leader = 0;
 		}
 		if (!ended->leader)
-			tell_ended(lease_node, ended, now_ms);
+			announce_ended(lease_node, ended, now_ms);
 	}
 }
 
@@ -314,7 +314,7 @@
 	struct lease_node_job *job, *next;
 	uint32_t count = 0;
 
-	tell_all_ended(lease_node, now_ms);
+	announce_all_ended(lease_node, now_ms);
 	HASH_ITER(hh, lease_node->jobs, job, next) {
 		uint64_t former = job->sent_to;
 
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -44,7 +44,7 @@
 	uint64_t ended_ms;
 	uint64_t leader; /* which was sent the cancel; 0: it was left */
 	uint64_t closed_ms; /* by when former leaders' runs have ended */
-	uint64_t told; /* the last leader that was told; 0: none */
+	uint64_t announced_to; /* the last leader; 0: none */
 };
 
 struct lease_node_address {
@@ -105,7 +105,7 @@
 			       uint64_t incarnation, uint64_t now_ms);
 
 /*
- * Tells the dispatcher, if this instance leads, which new jobs may have been
+ * Sets in the dispatcher, if this instance leads, which new jobs may have been
  * sent again and still be served by a leader whose beats are missing.
  */
 void lease_node_expect_resent(struct lease_node *lease_node, uint64_t now_ms);
@@ -139,7 +139,7 @@
 
 /* lease_node_crash.c */
 
-/* Tells linked members of the crashes noted here since the last call. */
+/* Sends linked members the crashes noted here since the last call. */
 void lease_node_send_crashes(struct lease_node *lease_node, uint64_t now_ms);
 
 /* Sends all records of crashes to a member. */
