adapters/targets: a usage without a count frees slots again

Callers would see: a task that waits for a slot until its deadline, after a task whose fate is unknown, on a worker whose usage has no count of tasks. Change: an absent count is 0 as before; one of a wrong type or size is ignored.

--- a/packages/adapters/targets.c
+++ b/packages/adapters/targets.c
@@ -234,17 +234,20 @@
 	mailbox_post_always(t->options.control, &msg->head);
 }
 
-/* Returns false unless the answer has a count of tasks. */
+/* Returns false for a field of a wrong type or size; an absent one is 0. */
 static bool read_usage(json_object *obj, struct port_usage *usage)
 {
 	json_object *v;
 
-	if (!json_object_object_get_ex(obj, "running", &v) ||
-	    !json_object_is_type(v, json_type_int) ||
-	    json_object_get_int64(v) < 0 ||
-	    json_object_get_uint64(v) > UINT32_MAX)
+	if (!json_object_is_type(obj, json_type_object))
 		return false;
-	usage->running = (uint32_t)json_object_get_int64(v);
+	if (json_object_object_get_ex(obj, "running", &v)) {
+		if (!json_object_is_type(v, json_type_int) ||
+		    json_object_get_int64(v) < 0 ||
+		    json_object_get_uint64(v) > UINT32_MAX)
+			return false;
+		usage->running = (uint32_t)json_object_get_int64(v);
+	}
 	if (!json_object_object_get_ex(obj, "leaving", &v))
 		return true;
 	usage->leaving = json_object_get_boolean(v);
