core: a round of starts names tasks only while an unneeded run is open

Cause: found reading the change: formatted each waiting task's name in every round of starts, to look for a run that no task needs; there is none but after a change of the leader. Change: the pool is asked first whether it has any such run. Result: no change of behaviour; unit tests as before (all but the two known red).

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -875,6 +875,8 @@
 
 	if (task->state != TASK_WAITING)
 		return false;
+	if (!pool_has_unneeded_runs(dispatch->pool))
+		return true;
 	lease_name_task(name, task);
 	return !pool_has_unneeded_run(dispatch->pool, name);
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -390,6 +390,9 @@
 /* Counts a hung run as a failure of its worker. */
 void pool_note_hung(struct pool_run *run, uint64_t now_ms);
 
+/* Returns true if any run is open that no task needs. */
+bool pool_has_unneeded_runs(const struct lease_pool *pool);
+
 /*
  * Returns true if a run of the task is open that no task needs, such as another
  * leader's that is being stopped.
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -506,6 +506,11 @@
 	pool_send_due_hold(pool, worker, now_ms);
 }
 
+bool pool_has_unneeded_runs(const struct lease_pool *pool)
+{
+	return !LIST_EMPTY(&pool->taskless);
+}
+
 bool pool_has_unneeded_run(const struct lease_pool *pool, const char *task)
 {
 	const struct pool_run *run;
