--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -263,19 +263,20 @@
         if ended:
             raise RuntimeError("ended by themselves: " + ", ".join(ended))
         breaks = judge(site)
-        for text in breaks[:8]:
-            print("broken:", text)
         for text in breaks:
             site.record.add("judge", "broken", text=text)
         if not breaks:
-            print("held")
             site.record.add("judge", "held")
         code = 1 if breaks else 0
+        shown = ["broken: " + text for text in breaks[:8]] or ["held"]
     except Exception as error:  # pylint: disable=broad-except
-        print("the case could not run:", repr(error))
+        shown = ["the case could not run: " + repr(error)]
     finally:
         if site:
             site.record.write(os.path.join(folder, "record.txt"))
             site.close()
-    sys.stdout.flush()
+    try:
+        print("\n".join(shown), flush=True)
+    except OSError:
+        pass
     os._exit(code)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -296,13 +296,14 @@
         self.down = False
         self.state = "ready"
         self.closed = False
+        self.wall_ahead_ms = 0  # of the machine's time of day
         self.begin_life()
         super().__init__()
         self.register()
         threading.Thread(target=self.live, daemon=True).start()
 
     def begin_life(self):
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.wall_ahead_ms
         self.clock_base = time.monotonic() - 1
         self.fence = 0
         self.deadline = 0  # ms on the worker's clock
