--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -266,7 +266,7 @@
  */
 static bool is_first_read(const struct lease_node *lease_node, uint64_t now_ms)
 {
-	return lease_node->options.first_start &&
+	return lease_node->options.first_start && !lease_node->workers_listed &&
 	       now_ms > POOL_LONGEST_PARTITION_MS &&
 	       now_ms - lease_node->options.now_ms <= FIRST_READ_MS;
 }
@@ -278,8 +278,12 @@
 
 	if (is_first_read(lease_node, now_ms))
 		known_since_ms -= POOL_LONGEST_PARTITION_MS;
-	if (!lease_node->workers_read_ms)
-		lease_node->workers_read_ms = known_since_ms;
+#ifdef BREAK_LIST_ANEW
+	if (lease_node->workers_read_ms)
+		return;
+#endif
+	lease_node->workers_listed = true;
+	lease_node->workers_read_ms = known_since_ms;
 	pool_note_list_read(lease_pool(lease_node->dispatch), known_since_ms);
 	leader_set_eligible(lease_node->members, true);
 }
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -136,7 +136,10 @@
 void lease_node_worker_list_current(struct lease_node *lease_node,
 				    uint64_t as_of_ms);
 
-/* The whole list of workers was read. */
+/*
+ * The whole list of workers was read, for the first time or anew: registrations
+ * that have come and gone before are not known.
+ */
 void lease_node_worker_list_complete(struct lease_node *lease_node,
 				     uint64_t now_ms);
 
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -81,7 +81,8 @@
 	uint64_t active_ms; /* when this process last ran */
 	uint64_t claim_raised_ms; /* when the claim was last raised */
 	bool standby; /* reads the list of workers, to be able to lead */
-	uint64_t workers_read_ms; /* when the list was first read; 0: never */
+	bool workers_listed; /* the list was read at least once */
+	uint64_t workers_read_ms; /* when it was last read anew; 0: dropped */
 	bool run_due; /* answers of relays may have freed workers */
 	bool stopping;
 	uint64_t ends_ms; /* when all jobs are answered; 0: not stopping */
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -452,17 +452,16 @@
 {
 	const struct pool_worker *worker;
 	uint32_t registered = 0, draining = 0;
+	bool is_anew = pool->list_read_ms != 0;
 
-	if (pool->list_read_ms)
-		return;
 	pool->list_read_ms = now_ms;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		registered += worker->registered;
 		draining += worker->registered && worker->draining;
 	}
 	log_info(LOG_TARGET,
-		 "list of workers read: %u registered, %u of them draining",
-		 registered, draining);
+		 "list of workers read%s: %u registered, %u of them draining",
+		 is_anew ? " anew" : "", registered, draining);
 }
 
 void pool_note_list_current(struct lease_pool *pool, uint64_t as_of_ms)
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -304,7 +304,11 @@
  */
 #define POOL_DRAINED_MS 3000
 
-/* Notes that the whole list of registrations has been read. */
+/*
+ * Notes that the whole list of registrations has been read, for the first time
+ * or anew. A list tells nothing of a worker whose registration has come and
+ * gone before; only the changes since then do.
+ */
 void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms);
 
 /*
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -25,6 +25,7 @@
 #define RESTART_MS 1000 /* until a killed instance is started again */
 #define STOP_LIMIT_MS 1500
 #define REGISTRATION_MS 700 /* until instances read it */
+#define LIST_PERIOD_MS 1400 /* between two readings of the registrations */
 #define OVERLOAD_LAG_MS 200
 #define RESEND_MS 1300
 #define STORE_MS 8 /* a call to the store and its answer */
@@ -59,6 +60,7 @@
 	[SCENARIO_DRAIN] = "drain",
 	[SCENARIO_UNREGISTER] = "unregister",
 	[SCENARIO_LIST_LATE] = "list_late",
+	[SCENARIO_JOIN] = "join",
 	[SCENARIO_OVERLOAD] = "overload",
 	[SCENARIO_HANG_UP] = "hang_up",
 };
@@ -105,6 +107,7 @@
 	uint64_t down_until_ms;
 	bool draining;
 	uint64_t unregistered_until_ms;
+	bool is_absent; /* has not joined yet */
 	bool unlisted[SCENARIO_NODES]; /* its registration was not read yet */
 	uint64_t fence;
 	uint64_t lease_ms; /* on its clock */
@@ -148,6 +151,7 @@
 	EV_SUBMIT,
 	EV_DISCONNECT,
 	EV_LISTED,
+	EV_LISTED_LATE,
 	EV_REFRESHED,
 	EV_RESEND,
 };
@@ -761,7 +765,8 @@
 		.draining = play->workers[i].draining,
 	};
 
-	if (play->workers[i].unlisted[node->index])
+	if (play->workers[i].is_absent ||
+	    play->workers[i].unlisted[node->index])
 		return;
 	if (play->workers[i].unregistered_until_ms > play->now_ms) {
 		lease_node_worker_removed(node->lease_node, registration.id,
@@ -772,13 +777,26 @@
 	lease_node_worker_listed(node->lease_node, &registration, play->now_ms);
 }
 
+/*
+ * A registration that has lapsed before it was read is missed only if the store
+ * has discarded its history: the list is read anew.
+ */
+static void list_unread_worker(struct play *play, struct node *node, int i)
+{
+	struct worker *w = &play->workers[i];
+	bool was_unread = w->unlisted[node->index];
+
+	w->unlisted[node->index] = false;
+	list_worker(play, node, i);
+	if (was_unread && w->unregistered_until_ms > play->now_ms)
+		lease_node_worker_list_complete(node->lease_node, play->now_ms);
+}
+
 static void refresh_workers(struct play *play, struct node *node,
 			    uint64_t as_of_ms)
 {
-	for (int i = 0; i < SCENARIO_WORKERS; i++) {
-		play->workers[i].unlisted[node->index] = false;
-		list_worker(play, node, i);
-	}
+	for (int i = 0; i < SCENARIO_WORKERS; i++)
+		list_unread_worker(play, node, i);
 	lease_node_worker_list_current(node->lease_node, as_of_ms);
 }
 
@@ -1054,6 +1072,15 @@
 			->worker = (int)(w - play->workers);
 }
 
+static bool join_worker(struct play *play, struct worker *w, struct node *first)
+{
+	w->is_absent = false;
+	announce(play, w, LIST_PERIOD_MS);
+	schedule_event(play, EV_LISTED, first, 0)->worker =
+		(int)(w - play->workers);
+	return true;
+}
+
 static bool drain_worker(struct play *play, struct worker *w)
 {
 	bool changed = set_cut(&w->draining);
@@ -1162,10 +1189,11 @@
 		return drain_worker(play, w);
 	case SCENARIO_UNREGISTER:
 		return unregister_worker(play, w, f->b);
+	case SCENARIO_JOIN:
+		return join_worker(play, &play->workers[f->b], node);
 	case SCENARIO_LIST_LATE:
-		w = &play->workers[f->b];
-		w->unlisted[f->a] = false;
-		schedule_event(play, EV_LISTED, node, 0)->worker = (int)f->b;
+		schedule_event(play, EV_LISTED_LATE, node, 0)->worker =
+			(int)f->b;
 		return true;
 	case SCENARIO_OVERLOAD:
 		return overload_node(play, node, f->b);
@@ -1214,6 +1242,9 @@
 	case EV_ANSWER:
 		deliver_answer(play, node, e);
 		break;
+	case EV_LISTED_LATE:
+		list_unread_worker(play, node, e->worker);
+		break;
 	case EV_REFRESHED:
 		refresh_workers(play, node, e->sent_ms);
 		break;
@@ -1310,6 +1341,8 @@
 
 		if (f->kind == SCENARIO_LIST_LATE)
 			play->workers[f->b].unlisted[f->a] = true;
+		if (f->kind == SCENARIO_JOIN)
+			play->workers[f->b].is_absent = true;
 	}
 	for (int i = 0; i < SCENARIO_NODES; i++) {
 		struct node *node = &play->nodes[i];
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -40,6 +40,8 @@
 	SCENARIO_UNREGISTER, /* worker a's registration lapses, for b ms */
 	/* Worker b is new; instance a reads its registration only now. */
 	SCENARIO_LIST_LATE,
+	/* Worker b joins; instance a reads its registration at once. */
+	SCENARIO_JOIN,
 	SCENARIO_OVERLOAD, /* instance a's loop is late for b ms */
 	SCENARIO_HANG_UP, /* the caller's connection is lost */
 	SCENARIO_KIND_COUNT,
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -84,6 +84,8 @@
 		for (size_t i = 0; i < 4; i++)
 			add(list, SCENARIO_FREEZE, a, freezes_ms[i]);
 		add(list, SCENARIO_OVERLOAD, a, 700);
+		for (uint32_t w = 0; w < SCENARIO_WORKERS; w++)
+			add(list, SCENARIO_JOIN, a, w);
 		for (uint32_t w = 0; a && w < SCENARIO_WORKERS; w++)
 			add(list, SCENARIO_LIST_LATE, a, w);
 		for (uint32_t b = 0; b < a; b++) {
@@ -413,6 +415,33 @@
 }
 END_TEST
 
+/*
+ * The worker's registration has come and gone before the next leader reads the
+ * list anew; the former leader runs the task there.
+ */
+START_TEST(test_two_runs_on_an_unread_worker_after_a_reset)
+{
+	check_one_run("1 0 0 0 0 0 328:unregister(0,3000) "
+		      "1058:list_late(1,0) 1100:reset_link(1,0)");
+	check_one_run("1 0 1 0 0 0 328:unregister(0,3000) "
+		      "1058:list_late(1,0) 1100:reset_link(1,0)");
+}
+END_TEST
+
+START_TEST(test_two_runs_on_an_unread_worker_behind_a_cut)
+{
+	check_one_run("1 0 0 0 0 0 18:unregister(0,3000) "
+		      "149:list_late(1,0) 291:partition(1,1)");
+}
+END_TEST
+
+START_TEST(test_two_runs_on_an_unread_worker_of_a_former_leader)
+{
+	check_one_run("0 0 0 0 0 0 39:unregister(0,3000) "
+		      "169:reset_link(1,0) 281:list_late(1,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -481,6 +510,10 @@
 		tc, test_two_runs_after_a_freeze_of_the_leader_of_a_lost_entry);
 	tcase_add_test(tc, test_two_runs_after_a_stop_beside_a_new_worker);
 	tcase_add_test(tc, test_two_runs_after_a_kill_beside_a_new_worker);
+	tcase_add_test(tc, test_two_runs_on_an_unread_worker_after_a_reset);
+	tcase_add_test(tc, test_two_runs_on_an_unread_worker_behind_a_cut);
+	tcase_add_test(tc,
+		       test_two_runs_on_an_unread_worker_of_a_former_leader);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 	if (!getenv("BERGAMOT_DEPTH"))
 		tcase_add_test(tc, test_two_runs_in_any_order_of_two);
