core: a drained worker that is not listed may still run a task (TWICE)

A worker that drains was left out of "this leader holds all workers" 3 s after its registration was removed. PROTOCOL: a worker "continues serving for drain_ms after the store has accepted that report and a little longer (at times many seconds)", and its entry is also removed "after three heartbeat intervals of silence". So it may be alive, and run the former leader's task.

Why this works: a removed registration counts for POOL_LONGEST_PARTITION_MS, whatever the worker's last state was. One rule less.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -475,12 +475,6 @@
 	pool->list_read_ms = 0;
 }
 
-static bool is_drained(const struct pool_worker *worker, uint64_t now_ms)
-{
-	return !worker->registered && worker->draining &&
-	       now_ms - worker->unregistered_ms >= POOL_DRAINED_MS;
-}
-
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
@@ -494,8 +488,6 @@
 		since_ms = pool->list_current_ms;
 #endif
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
-		if (is_drained(worker, now_ms))
-			continue;
 		if (!worker->registered || worker->state != POOL_HELD ||
 		    worker->failures)
 			return 0;
@@ -684,8 +676,7 @@
 	return !worker->registered && !worker->run_count &&
 	       !worker->is_reserved && !worker->hold_pending &&
 	       now_ms - worker->report_read_ms >= POOL_LATE_REPORT_MS &&
-	       (is_drained(worker, now_ms) ||
-		now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS);
+	       now_ms - worker->unregistered_ms >= POOL_LONGEST_PARTITION_MS;
 }
 
 void pool_tick(struct lease_pool *pool, uint64_t now_ms)
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -298,12 +298,6 @@
  */
 #define POOL_LONGEST_PARTITION_MS 30000
 
-/*
- * A worker that drains may be missing from the list, because it is silent to
- * the platform, while it ends its last tasks under another leader.
- */
-#define POOL_DRAINED_MS 3000
-
 /*
  * Notes that the whole list of registrations has been read, for the first time
  * or anew. A list tells nothing of a worker whose registration has come and
@@ -367,10 +361,9 @@
 /*
  * Returns a time such that every worker that was registered by then has
  * answered a probe under our fencing token that was sent then or later; 0 if
- * there is none. A worker that does not answer, or whose registration has
- * lapsed, may have been taken over by another instance; one that was drained
- * before it left is not counted after POOL_DRAINED_MS. Walks through all
- * workers.
+ * there is none. A worker that does not answer, or whose registration was
+ * removed less than POOL_LONGEST_PARTITION_MS ago, also after it had drained,
+ * may run tasks of another instance. Walks through all workers.
  */
 uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms);
 
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -381,6 +381,18 @@
 }
 END_TEST
 
+/* It drains without a registration for longer than a lease lasts. */
+START_TEST(test_two_runs_while_a_worker_drains_unlisted)
+{
+	check_one_run("1 0 0 0 0 0 100:drain(0,0) 200:unregister(0,9000) "
+		      "3400:kill(0,0)");
+	check_one_run("1 0 0 0 0 0 100:drain(0,0) 200:unregister(0,9000) "
+		      "3400:partition(1,1)");
+	check_one_run("1 0 1 0 0 0 100:drain(0,0) 200:unregister(0,9000) "
+		      "3400:partition(1,1)");
+}
+END_TEST
+
 /* An entry that stops as planned answers while its leader is cut off. */
 START_TEST(test_two_runs_after_an_entry_stopped_beside_a_cut)
 {
@@ -504,6 +516,7 @@
 	tcase_add_test(tc, test_two_runs_after_the_entry_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_cancel_was_lost_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_a_drained_worker_was_not_listed);
+	tcase_add_test(tc, test_two_runs_while_a_worker_drains_unlisted);
 	tcase_add_test(tc, test_two_runs_after_an_entry_has_stopped_in_a_cut);
 	tcase_add_test(tc, test_two_runs_after_an_entry_stopped_beside_a_cut);
 	tcase_add_test(
