core: log why tasks that earlier leaders may run wait

Cause: the logs of a leader did not show whether it took all workers for held, nor which one not.

Change: pool_all_held_since names the first reason and its worker, and the dispatcher logs it when it changes.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -746,11 +746,32 @@
 /* Finding out walks through all workers: only for a job that needs it. */
 #define HELD_UNKNOWN UINT64_MAX
 
+/* As pool_all_held_since; logs when the reason changes. */
+static uint64_t find_held_since(struct lease_dispatch *dispatch,
+				uint64_t now_ms)
+{
+	const struct pool_worker *worker;
+	enum pool_gap gap;
+	uint64_t since_ms =
+		pool_all_held_since(dispatch->pool, now_ms, &gap, &worker);
+
+	if (gap != dispatch->gap)
+		log_info(LOG_DISPATCH,
+			 "tasks that earlier leaders may run %s: %s%s%s",
+			 gap == POOL_NO_GAP
+				 ? "need not wait until their runs have lapsed"
+				 : "wait until their runs have lapsed",
+			 pool_gap_text(gap), worker ? ", " : "",
+			 worker ? worker->id : "");
+	dispatch->gap = gap;
+	return since_ms;
+}
+
 /*
  * Returns true while runs of earlier leaders may be open on workers that this
  * instance does not hold.
  */
-static bool is_deferred(const struct lease_dispatch *dispatch,
+static bool is_deferred(struct lease_dispatch *dispatch,
 			const struct lease_job *job, uint64_t *held_since_ms,
 			uint64_t now_ms)
 {
@@ -760,7 +781,7 @@
 	if (now_ms >= job->earlier_runs_over_ms)
 		return false;
 	if (*held_since_ms == HELD_UNKNOWN)
-		*held_since_ms = pool_all_held_since(dispatch->pool, now_ms);
+		*held_since_ms = find_held_since(dispatch, now_ms);
 	return !*held_since_ms || *held_since_ms < job->probe_after_ms;
 }
 
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -105,6 +105,7 @@
 	uint32_t waiting_tasks;
 	uint32_t running_tasks;
 	uint64_t no_start_until_ms;
+	enum pool_gap gap; /* that was logged last */
 	/* Between these times a new job may have been sent again. */
 	uint64_t resent_from_ms;
 	uint64_t resent_until_ms;
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -475,24 +475,61 @@
 	pool->list_read_ms = 0;
 }
 
-uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms)
+const char *pool_gap_text(enum pool_gap gap)
 {
-	const struct pool_worker *worker;
+	static const char *const texts[POOL_GAP_COUNT] = {
+		[POOL_NO_GAP] = "all workers are held",
+		[POOL_LIST_NOT_READ] = "the list of workers is not read",
+		[POOL_LIST_READ_ANEW] = "the list of workers was read anew",
+		[POOL_WORKER_REMOVED] = "a registration was removed",
+		[POOL_WORKER_NOT_HELD] = "a worker is not held",
+	};
+
+	return texts[gap];
+}
+
+static enum pool_gap find_list_gap(const struct lease_pool *pool,
+				   uint64_t now_ms)
+{
+	if (!pool->list_read_ms)
+		return POOL_LIST_NOT_READ;
+	if (now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
+		return POOL_LIST_READ_ANEW;
+	return POOL_NO_GAP;
+}
+
+static enum pool_gap find_worker_gap(const struct pool_worker *worker)
+{
+	if (!worker->registered)
+		return POOL_WORKER_REMOVED;
+	if (worker->state != POOL_HELD || worker->failures)
+		return POOL_WORKER_NOT_HELD;
+	return POOL_NO_GAP;
+}
+
+uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms,
+			     enum pool_gap *gap,
+			     const struct pool_worker **worker)
+{
+	const struct pool_worker *w;
 	uint64_t since_ms = now_ms;
 
-	if (!pool->list_read_ms ||
-	    now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
+	*worker = NULL;
+	*gap = find_list_gap(pool, now_ms);
+	if (*gap != POOL_NO_GAP)
 		return 0;
 #ifndef BREAK_LIST_AGE
 	if (pool->options.list_lags && pool->list_current_ms < since_ms)
 		since_ms = pool->list_current_ms;
 #endif
-	TAILQ_FOREACH(worker, &pool->workers, entry) {
-		if (!worker->registered || worker->state != POOL_HELD ||
-		    worker->failures)
+	TAILQ_FOREACH(w, &pool->workers, entry) {
+		*gap = find_worker_gap(w);
+		if (*gap != POOL_NO_GAP) {
+			*worker = w;
 			return 0;
-		if (worker->probed_ms < since_ms)
-			since_ms = worker->probed_ms;
+		}
+		if (w->probed_ms < since_ms)
+			since_ms = w->probed_ms;
 	}
 	return since_ms;
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -358,14 +358,31 @@
 
 bool pool_leads(const struct lease_pool *pool);
 
+/* Why another leader's tasks may run on a worker that is not held. */
+enum pool_gap {
+	POOL_NO_GAP,
+	POOL_LIST_NOT_READ,
+	POOL_LIST_READ_ANEW, /* less than POOL_LONGEST_PARTITION_MS ago */
+	POOL_WORKER_REMOVED, /* its registration, also less than that ago */
+	POOL_WORKER_NOT_HELD, /* does not answer, or obeys another instance */
+	POOL_GAP_COUNT,
+};
+
+/* Returns a text for a gap, for logs. */
+const char *pool_gap_text(enum pool_gap gap);
+
 /*
  * Returns a time such that every worker that was registered by then has
  * answered a probe under our fencing token that was sent then or later; 0 if
  * there is none. A worker that does not answer, or whose registration was
  * removed less than POOL_LONGEST_PARTITION_MS ago, also after it had drained,
- * may run tasks of another instance. Walks through all workers.
+ * may run tasks of another instance. Sets *gap to the first reason, and
+ * *worker to the worker that it concerns, or to NULL. Walks through all
+ * workers.
  */
-uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms);
+uint64_t pool_all_held_since(const struct lease_pool *pool, uint64_t now_ms,
+			     enum pool_gap *gap,
+			     const struct pool_worker **worker);
 
 /*
  * Returns true if a registered worker has not answered since this instance
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -444,6 +444,11 @@
 {
 	check_one_run("1 0 0 0 0 0 18:unregister(0,3000) "
 		      "149:list_late(1,0) 291:partition(1,1)");
+	/* The instance that has not read it leads. */
+	check_one_run("1 0 0 0 0 0 18:unregister(0,3000) "
+		      "149:list_late(1,0) 291:partition(5,1)");
+	check_one_run("1 0 1 0 0 0 18:unregister(0,3000) "
+		      "149:list_late(1,0) 291:partition(5,1)");
 }
 END_TEST
 
--- a/packages/core/tests/test_lease_report_order.c
+++ b/packages/core/tests/test_lease_report_order.c
@@ -61,6 +61,18 @@
 	pool_unregister_worker(lease_pool(fake->dispatch), "w1", fake->now_ms);
 }
 
+/* Checks that there is a gap if a time is missing, and returns it. */
+static enum pool_gap find_gap(void)
+{
+	const struct pool_worker *worker;
+	enum pool_gap gap;
+	uint64_t since_ms = pool_all_held_since(lease_pool(fake->dispatch),
+						fake->now_ms, &gap, &worker);
+
+	ck_assert(!since_ms == (gap != POOL_NO_GAP));
+	return gap;
+}
+
 static void submit(const char *id, uint32_t tasks)
 {
 	struct lease_submission job = fake_orders_submission(id, tasks);
@@ -131,14 +143,10 @@
 	ck_assert_uint_eq(fake->start_count, 0);
 	ck_assert(!pool_is_usable(worker(), fake->now_ms));
 	/* It may still run tasks of another leader. */
-	ck_assert_uint_eq(
-		pool_all_held_since(lease_pool(fake->dispatch), fake->now_ms),
-		0);
+	ck_assert_int_eq(find_gap(), POOL_WORKER_REMOVED);
 	fake_orders_advance(fake, POOL_LATE_REPORT_MS);
 	ck_assert_ptr_null(worker());
-	ck_assert_uint_ne(
-		pool_all_held_since(lease_pool(fake->dispatch), fake->now_ms),
-		0);
+	ck_assert_int_eq(find_gap(), POOL_NO_GAP);
 }
 END_TEST
 
