core: an entry hands a job on once its former leader has let go (TWICE)

Cause: the next leader may skip the wait for a former leader's runs if it holds all workers of a list that was asked for after the job came. An entry that turned to a higher claim, while its former leader was linked and counted on it, cancelled the job there and sent it to the next leader at once. Where the cancel is lost or slow the former leader goes on for up to 0.6 s, and starts the job's waiting tasks on a worker that joins then and is on no list of the next leader.

Evidence: 2 2 0 0 0 0 0:cut_worker(0,1) 1200:cut_link(0,1) 3920:cut_one_way(2,0) 4020:join(0,0): run 2 on w0 by instance 0, run 17 on w1 since 87 ms by instance 1, in one attempt. With relays, and for a leader that was frozen, likewise.

Why this works: the job is handed on when a beat of the former leader echoes one of ours that followed the cancel, when it gives up its claim, when its link is down, or 0.6 s after the cancel or after its last beat, by when it no longer counts on this entry. So each worker that may have got a task has joined before the next leader asks for the list. Weighed: tasks on a worker only 1.2 s after it has joined (each added worker waits, and a worker that restarts is not covered).

Before: test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned failed. After: none of its three orders; BREAK_LEAVE_FORMER is caught. Cost to callers: about one beat (0.12 s) when an entry turns away from a leader that still claims, and none where the leader is lost or resigns.

--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -152,16 +152,59 @@
 	return m && m->linked && now_ms - m->last_beat_ms <= LEADER_QUIET_MS;
 }
 
+/*
+ * Returns true if a beat shows that the leader has received what was sent to
+ * it by then.
+ */
+static bool has_received(struct lease_node *lease_node, uint64_t leader,
+			 uint64_t sent_ms)
+{
+	const struct leader_member *m =
+		leader_find(lease_node->members, leader);
+
+	return m && m->linked && m->valid_until_ms > sent_ms + LEADER_VALID_MS;
+}
+
+/*
+ * Returns true while a former leader may start tasks of a job that was
+ * cancelled there at left_ms: it counts on this instance's beats, and has not
+ * received the cancel as far as is known.
+ */
+static bool may_still_start(struct lease_node *lease_node, uint64_t former,
+			    uint64_t left_ms, uint64_t now_ms)
+{
+	const struct leader_member *m =
+		leader_find(lease_node->members, former);
+
+#ifdef BREAK_LEAVE_FORMER
+	return false;
+#endif
+	return m && m->linked && m->claim &&
+	       now_ms < left_ms + LEADER_VALID_MS &&
+	       now_ms < m->last_beat_ms + LEADER_VALID_MS &&
+	       !has_received(lease_node, former, left_ms);
+}
+
 /*
  * Cancels a job at its former leader, unless that is to have it again. One that
- * still leads receives our beats, and would go on serving the job.
+ * still leads receives our beats, and would go on serving the job. Returns
+ * false until the next leader may have the job: it may skip the wait for the
+ * former one's runs, but knows only workers that have joined by then.
  */
-static void leave_former(struct lease_node *lease_node,
+static bool leave_former(struct lease_node *lease_node,
 			 struct lease_node_job *job, uint64_t now_ms)
 {
-	if (job->former != lease_node->leader)
-		cancel_at(lease_node, job, job->former, now_ms);
-	job->former = 0;
+	if (job->former && job->former != lease_node->leader) {
+		if (!job->left_ms) {
+			cancel_at(lease_node, job, job->former, now_ms);
+			job->left_ms = now_ms;
+		}
+		if (may_still_start(lease_node, job->former, job->left_ms,
+				    now_ms))
+			return false;
+	}
+	job->former = job->left_ms = 0;
+	return true;
 }
 
 /* Sends a job to the leader, if there is one that can be reached. */
@@ -173,7 +216,8 @@
 
 	if (!leader || (!leads && !is_reachable(lease_node, leader, now_ms)))
 		return;
-	leave_former(lease_node, job, now_ms);
+	if (!leave_former(lease_node, job, now_ms))
+		return;
 	job->sent_to = leader;
 	if (leads) {
 		submit_locally(lease_node, job, now_ms);
@@ -201,19 +245,6 @@
 	return (m ? m->last_beat_ms : now_ms) + CLOSED_MS;
 }
 
-/*
- * Returns true if a beat shows that the leader has received what was sent to
- * it by then.
- */
-static bool has_received(struct lease_node *lease_node, uint64_t leader,
-			 uint64_t sent_ms)
-{
-	const struct leader_member *m =
-		leader_find(lease_node->members, leader);
-
-	return m && m->linked && m->valid_until_ms > sent_ms + LEADER_VALID_MS;
-}
-
 static void announce_ended(struct lease_node *lease_node,
 			   struct lease_node_ended *ended, uint64_t now_ms)
 {
@@ -293,6 +324,7 @@
 	uint64_t closed_ms = runs_closed_ms(lease_node, job->sent_to, now_ms);
 
 	job->former = job->sent_to;
+	job->left_ms = 0;
 	if (closed_ms > job->closed_ms)
 		job->closed_ms = closed_ms;
 	job->handed++;
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -29,6 +29,7 @@
 	uint64_t sent_to; /* incarnation of the leader that has it; 0: none */
 	uint64_t
 		former; /* leader it was taken back from, not cancelled there */
+	uint64_t left_ms; /* when it was cancelled at former; 0: not yet */
 	uint32_t handed; /* number of earlier leaders that may have had it */
 	uint64_t closed_ms; /* by when these are certain to have given it up */
 };
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -459,6 +459,23 @@
 }
 END_TEST
 
+/*
+ * The entry turns to a leader with a higher claim while its former one, which
+ * waits for room, still counts on it: the cancel does not arrive. A worker
+ * joins after the next leader has asked for the list.
+ */
+START_TEST(test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned)
+{
+	check_one_run("2 2 0 0 0 0 0:cut_worker(0,1) 1200:cut_link(0,1) "
+		      "3920:cut_one_way(2,0) 4020:join(0,0)");
+	check_one_run("2 2 1 0 0 0 0:cut_worker(0,1) 1200:cut_link(0,1) "
+		      "3920:cut_one_way(2,0) 4020:join(0,0)");
+	check_one_run("2 2 0 0 0 0 0:cut_worker(0,1) 2812:freeze(0,490) "
+		      "3412:cut_link(0,1) 4012:cut_one_way(2,0) "
+		      "4132:join(0,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -532,6 +549,9 @@
 	tcase_add_test(tc, test_two_runs_on_an_unread_worker_behind_a_cut);
 	tcase_add_test(tc,
 		       test_two_runs_on_an_unread_worker_of_a_former_leader);
+	tcase_add_test(
+		tc,
+		test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 	if (!getenv("BERGAMOT_DEPTH"))
 		tcase_add_test(tc, test_two_runs_in_any_order_of_two);
