core: no job over a link whose leader may not have read it (TWICE)

Cause: a leader takes an entry's jobs for 0.3 s from when it reads that a link is new. The entry counts from the leader's last beat, and sent jobs over the new link if that beat, over the former link, was at most 0.3 s old. A leader that is paused for less than MAX_PAUSE_MS (480 ms), which it takes for no pause, reads the link and the job later than the entry counts on. It keeps the job, and renews its lease, past the time that the entry gives to the next leader. That one starts the task while the run is open. The party that believes wrongly is the next leader, by the entry's time.

Evidence: test_two_runs_after_a_leader_was_late_to_read_a_new_link fails before the change in lease_node_entry.c:

1 2 0 0 0 0 390:reset_link(1,0) 480:freeze(0,470) 947:partition(1,1) 2067:cut_worker(0,0): run 33 on w1 by instance 1; run 1 on w0 since 2914 ms by instance 0

The simulation opened no link to a frozen instance. Now such an instance reads the Hello when it runs again, as a process does whose kernel has it: both sides of a link send their Hello at once (adapters/peers.c).

Why this works: a leader sends beats over a link only after it has read it, so a beat over the link was sent after its 0.3 s began. The time that the entry gives counts from that beat at the earliest, and is longer than the leader's. Cost: after a reset, jobs wait for the leader's first beat over the new link, which it sends at once.

Left: between two instances with two connections, a beat that was sent before the leader saw the loss of one may arrive over the other afterwards. BREAK_LINK_BEAT takes the check out; tests/mutants has not been run.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -241,6 +241,7 @@
 	log_info(LOG_MEMBER, "member %s (%016" PRIx64 ") at %s: link up",
 		 member->instance, member->incarnation, member->address);
 	member->linked = true;
+	member->link_has_beat = false;
 	member->link_changed_ms = now_ms;
 	if (leadership->claim &&
 	    member->valid_until_ms < now_ms + LEADER_LINK_VALID_MS)
@@ -352,6 +353,7 @@
 		member->beat_due_ms = 0;
 	update_clock(member, beat->clock_ms, now_ms);
 	member->last_beat_ms = now_ms;
+	member->link_has_beat = true;
 	member->claim = beat->claim;
 	member->majority = beat->claim && beat->majority;
 	member->leaderless = beat->leaderless;
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -62,6 +62,7 @@
 	bool linked;
 	uint64_t link_changed_ms; /* when the link last came up or went down */
 	uint64_t last_beat_ms; /* when its last beat arrived; 0: never */
+	bool link_has_beat; /* a beat has arrived since the link came up */
 	uint64_t clock_ms; /* its clock in its last beat, to be echoed */
 	int64_t clock_ahead_ms; /* lower bound of its clock less ours */
 	uint64_t valid_until_ms; /* it may count us as live until this time */
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -142,13 +142,21 @@
 	lease_node_schedule_run(lease_node);
 }
 
-/* Returns true if the leader is linked, and its beats arrive. */
+/*
+ * Returns true if the leader is linked, and its beats arrive. It counts on us
+ * from when it reads a new link's Hello, which may be later than we read its
+ * own; a beat over the link shows that it has read it.
+ */
 static bool is_reachable(struct lease_node *lease_node, uint64_t leader,
 			 uint64_t now_ms)
 {
 	const struct leader_member *m =
 		leader_find(lease_node->members, leader);
 
+#ifndef BREAK_LINK_BEAT
+	if (m && !m->link_has_beat)
+		return false;
+#endif
 	return m && m->linked && now_ms - m->last_beat_ms <= LEADER_QUIET_MS;
 }
 
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -143,6 +143,7 @@
 
 enum event_kind {
 	EV_MESSAGE,
+	EV_LINK_UP,
 	EV_LINK_DOWN,
 	EV_ORDER,
 	EV_ANSWER,
@@ -731,13 +732,34 @@
 	lease_node_peer_up(node->lease_node, &hello, play->now_ms);
 }
 
+/* A frozen instance reads the other one's Hello once it runs again. */
+static void open_link(struct play *play, struct node *node,
+		      const struct node *other)
+{
+	if (!is_frozen(play, node)) {
+		link_to(play, node, other);
+		return;
+	}
+	node->linked[other->index] = other->incarnation;
+	schedule_event(play, EV_LINK_UP, node, 0)->from = other->incarnation;
+}
+
 static void link_nodes(struct play *play, struct node *a, struct node *b)
 {
-	if (a == b || !is_running(play, a) || !is_running(play, b) ||
+	if (a == b || !a->lease_node || !b->lease_node ||
+	    (is_frozen(play, a) && is_frozen(play, b)) ||
 	    play->cut[a->index][b->index] || play->cut[b->index][a->index])
 		return;
-	link_to(play, a, b);
-	link_to(play, b, a);
+	open_link(play, a, b);
+	open_link(play, b, a);
+}
+
+static void read_hello(struct play *play, struct node *node, uint64_t from)
+{
+	for (int i = 0; i < SCENARIO_NODES; i++)
+		if (play->nodes[i].incarnation == from &&
+		    node->linked[i] == from)
+			link_to(play, node, &play->nodes[i]);
 }
 
 static void unlink_nodes(struct play *play, struct node *a, struct node *b)
@@ -1236,6 +1258,9 @@
 					play->now_ms);
 		bergamot__peer__free_unpacked(msg, NULL);
 		break;
+	case EV_LINK_UP:
+		read_hello(play, node, e->from);
+		break;
 	case EV_LINK_DOWN:
 		lease_node_peer_down(node->lease_node, e->from, play->now_ms);
 		break;
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -476,6 +476,14 @@
 }
 END_TEST
 
+/* The leader, paused for a moment, reads the new link later than its entry. */
+START_TEST(test_two_runs_after_a_leader_was_late_to_read_a_new_link)
+{
+	check_one_run("1 2 0 0 0 0 390:reset_link(1,0) 480:freeze(0,470) "
+		      "947:partition(1,1) 2067:cut_worker(0,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -552,6 +560,8 @@
 	tcase_add_test(
 		tc,
 		test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned);
+	tcase_add_test(
+		tc, test_two_runs_after_a_leader_was_late_to_read_a_new_link);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 	if (!getenv("BERGAMOT_DEPTH"))
 		tcase_add_test(tc, test_two_runs_in_any_order_of_two);
