core: name the time from which the list of workers is followed

Change: list_followed_ms and workers_followed_ms, the parameter of pool_note_list_read likewise; the comments say that changes are known from then on, and why a second list is no first reading.

Result: no change of behaviour; the unit tests of the leased path and the platform pass.

--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -160,8 +160,8 @@
 	lease_node_check_pause(lease_node, now_ms);
 	expire_entries(lease_node, now_ms);
 	leader_set_preferred(lease_node->members,
-			     lease_node->workers_read_ms &&
-				     now_ms - lease_node->workers_read_ms >=
+			     lease_node->workers_followed_ms &&
+				     now_ms - lease_node->workers_followed_ms >=
 					     POOL_LONGEST_PARTITION_MS);
 	elect_leader(lease_node, now_ms);
 	update_standby(lease_node, now_ms);
@@ -232,7 +232,7 @@
 
 void lease_node_worker_list_closed(struct lease_node *lease_node)
 {
-	lease_node->workers_read_ms = 0;
+	lease_node->workers_followed_ms = 0;
 	pool_note_list_dropped(lease_pool(lease_node->dispatch));
 	leader_set_eligible(lease_node->members, false);
 }
@@ -263,10 +263,12 @@
 /*
  * Returns true at the first start of the whole system, when no instance has led
  * before and no registration that another instance may have read has expired.
+ * When the list is read anew, one may have.
  */
 static bool is_first_read(const struct lease_node *lease_node, uint64_t now_ms)
 {
-	return lease_node->options.first_start && !lease_node->workers_listed &&
+	return lease_node->options.first_start &&
+	       !lease_node->had_worker_list &&
 	       now_ms > POOL_LONGEST_PARTITION_MS &&
 	       now_ms - lease_node->options.now_ms <= FIRST_READ_MS;
 }
@@ -274,17 +276,17 @@
 void lease_node_worker_list_complete(struct lease_node *lease_node,
 				     uint64_t now_ms)
 {
-	uint64_t known_since_ms = now_ms;
+	uint64_t followed_ms = now_ms;
 
 	if (is_first_read(lease_node, now_ms))
-		known_since_ms -= POOL_LONGEST_PARTITION_MS;
+		followed_ms -= POOL_LONGEST_PARTITION_MS;
 #ifdef BREAK_LIST_ANEW
-	if (lease_node->workers_read_ms)
+	if (lease_node->workers_followed_ms)
 		return;
 #endif
-	lease_node->workers_listed = true;
-	lease_node->workers_read_ms = known_since_ms;
-	pool_note_list_read(lease_pool(lease_node->dispatch), known_since_ms);
+	lease_node->had_worker_list = true;
+	lease_node->workers_followed_ms = followed_ms;
+	pool_note_list_read(lease_pool(lease_node->dispatch), followed_ms);
 	leader_set_eligible(lease_node->members, true);
 }
 
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -82,8 +82,9 @@
 	uint64_t active_ms; /* when this process last ran */
 	uint64_t claim_raised_ms; /* when the claim was last raised */
 	bool standby; /* reads the list of workers, to be able to lead */
-	bool workers_listed; /* the list was read at least once */
-	uint64_t workers_read_ms; /* when it was last read anew; 0: dropped */
+	bool had_worker_list; /* was read at least once */
+	/* All changes of the list were read since; 0: it is not read. */
+	uint64_t workers_followed_ms;
 	bool run_due; /* answers of relays may have freed workers */
 	bool stopping;
 	uint64_t ends_ms; /* when all jobs are answered; 0: not stopping */
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -340,7 +340,7 @@
 		pool_reset_worker(pool, worker, now_ms);
 	}
 	/* pool_note_list_read reports the first listing as a whole. */
-	if (pool->list_read_ms &&
+	if (pool->list_followed_ms &&
 	    (!worker->registered || worker->draining != registration->draining))
 		log_info(LOG_TARGET,
 			 "worker %s at %s: registered for service %s, %s, %u "
@@ -448,13 +448,13 @@
 	       fits(c->accelerators, u->accelerators, demand->accelerators);
 }
 
-void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms)
+void pool_note_list_read(struct lease_pool *pool, uint64_t followed_ms)
 {
 	const struct pool_worker *worker;
 	uint32_t registered = 0, draining = 0;
-	bool is_anew = pool->list_read_ms != 0;
+	bool is_anew = pool->list_followed_ms != 0;
 
-	pool->list_read_ms = now_ms;
+	pool->list_followed_ms = followed_ms;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		registered += worker->registered;
 		draining += worker->registered && worker->draining;
@@ -472,7 +472,7 @@
 
 void pool_note_list_dropped(struct lease_pool *pool)
 {
-	pool->list_read_ms = 0;
+	pool->list_followed_ms = 0;
 }
 
 const char *pool_gap_text(enum pool_gap gap)
@@ -491,9 +491,9 @@
 static enum pool_gap find_list_gap(const struct lease_pool *pool,
 				   uint64_t now_ms)
 {
-	if (!pool->list_read_ms)
+	if (!pool->list_followed_ms)
 		return POOL_LIST_NOT_READ;
-	if (now_ms - pool->list_read_ms < POOL_LONGEST_PARTITION_MS)
+	if (now_ms - pool->list_followed_ms < POOL_LONGEST_PARTITION_MS)
 		return POOL_LIST_READ_ANEW;
 	return POOL_NO_GAP;
 }
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -300,10 +300,11 @@
 
 /*
  * Notes that the whole list of registrations has been read, for the first time
- * or anew. A list tells nothing of a worker whose registration has come and
- * gone before; only the changes since then do.
+ * or anew, and that all changes are read from followed_ms on. A list tells
+ * nothing of a worker whose registration has come and gone before; only the
+ * changes since then do.
  */
-void pool_note_list_read(struct lease_pool *pool, uint64_t now_ms);
+void pool_note_list_read(struct lease_pool *pool, uint64_t followed_ms);
 
 /*
  * Notes that all changes of registrations up to as_of_ms were applied. Another
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -64,7 +64,8 @@
 	double mean_answer_ms;
 	double answer_deviation_ms; /* mean absolute deviation */
 	double unanswered_share;
-	uint64_t list_read_ms; /* registrations known since; 0: not read */
+	/* All changes of registrations were read since; 0: not read. */
+	uint64_t list_followed_ms;
 	uint64_t list_current_ms; /* all changes up to then were applied */
 };
 
