core: a wave of crashes proves no task's guilt (LOST)

Cause: the verdict on a task that crashes workers went by count alone, two crashes of workers that ran nothing else or three in all. Crashes in a wave have a common cause, and a suspect that is tried meanwhile meets them, too.

Evidence: test_wave_of_crashes_fails_no_job.

Why this works: a crash counts fully only if it stands out. The pool notes each process of a worker that goes, and how many of the tasks it went with have not ended done since. Four workers and a twentieth of all that went by themselves within 2 s are a wave. A task with enough crashes, of which too few are outside of waves, waits until the wave is over and is tried again. A verdict that depends on losses whose suspects are still to be tried waits for them, without another start. The mark is in the records of all members.

The bound stays: a lone task that crashes workers is given up after two or three crashes as before, all existing tests hold unchanged; in a wave after five at most, two starts after the third (BUDGET allows these two). test_task_that_crashes_workers_in_a_wave_is_bounded checks it.

--- a/packages/core/crash_record.c
+++ b/packages/core/crash_record.c
@@ -6,6 +6,8 @@
 /* Crashes that prove a task's guilt, and those of workers that it had alone. */
 #define MAX_CRASHES 3
 #define MAX_ALONE_CRASHES 2
+/* Crashes that prove it even if all fell into waves. */
+#define MAX_CRASHES_IN_WAVES CRASH_RECORD_MAX_CRASHES
 
 struct crash_records {
 	struct crash_record *by_task;
@@ -16,6 +18,7 @@
 	[CRASH_NONE] = "none",
 	[CRASH_SUSPECT] = "suspect",
 	[CRASH_UNDECIDED] = "undecided",
+	[CRASH_IN_WAVE] = "waits for the end of the wave",
 	[CRASH_GUILTY] = "guilty",
 };
 
@@ -113,8 +116,10 @@
 
 	crash->is_alone = crash->is_alone && note->is_alone;
 	crash->is_confirmed = crash->is_confirmed || note->is_confirmed;
+	crash->is_in_wave = crash->is_in_wave || note->is_in_wave;
 	return crash->is_alone != before.is_alone ||
-	       crash->is_confirmed != before.is_confirmed;
+	       crash->is_confirmed != before.is_confirmed ||
+	       crash->is_in_wave != before.is_in_wave;
 }
 
 static bool append(struct crash_record *record, const struct crash_note *note)
@@ -201,28 +206,58 @@
 	}
 }
 
-static bool is_proven(uint32_t crashes, uint32_t alone_crashes)
+struct crash_count {
+	uint32_t all;
+	uint32_t alone;
+};
+
+static struct crash_count count_crashes(const struct crash_record *record,
+					bool unconfirmed, bool in_waves)
+{
+	struct crash_count count = { 0, 0 };
+
+	for (uint32_t i = 0; i < record->count; i++) {
+		const struct crash_note *crash = &record->crashes[i];
+
+		if ((!crash->is_confirmed && !unconfirmed) ||
+		    (crash->is_in_wave && !in_waves))
+			continue;
+		count.all++;
+		count.alone += crash->is_alone;
+	}
+	return count;
+}
+
+static bool suffices(struct crash_count count)
 {
-	return crashes >= MAX_CRASHES || alone_crashes >= MAX_ALONE_CRASHES;
+	return count.all >= MAX_CRASHES || count.alone >= MAX_ALONE_CRASHES;
+}
+
+static bool is_proven(struct crash_count confirmed,
+		      struct crash_count outside_waves)
+{
+	return suffices(outside_waves) ||
+	       (confirmed.all >= MAX_CRASHES && outside_waves.alone) ||
+	       confirmed.all >= MAX_CRASHES_IN_WAVES;
 }
 
 enum crash_verdict crash_judge(const struct crash_record *record)
 {
-	uint32_t confirmed = 0, confirmed_alone = 0, alone = 0;
+	struct crash_count confirmed;
 
 	if (!record || !record->count)
 		return CRASH_NONE;
-	for (uint32_t i = 0; i < record->count; i++) {
-		const struct crash_note *crash = &record->crashes[i];
-
-		alone += crash->is_alone;
-		confirmed += crash->is_confirmed;
-		confirmed_alone += crash->is_alone && crash->is_confirmed;
-	}
-	if (is_proven(confirmed, confirmed_alone))
+	confirmed = count_crashes(record, false, true);
+	if (is_proven(confirmed, count_crashes(record, false, false)))
 		return CRASH_GUILTY;
-	return is_proven(record->count, alone) ? CRASH_UNDECIDED
-					       : CRASH_SUSPECT;
+	if (!suffices(count_crashes(record, true, true)))
+		return CRASH_SUSPECT;
+	return confirmed.all == record->count ? CRASH_IN_WAVE : CRASH_UNDECIDED;
+}
+
+bool crash_is_full(const struct crash_record *record)
+{
+	return record->count == CRASH_RECORD_MAX_CRASHES;
 }
 
 void crash_mark_unsent(struct crash_records *records,
--- a/packages/core/crash_record.h
+++ b/packages/core/crash_record.h
@@ -20,7 +20,7 @@
  */
 
 /* Crashes that decide a task's fate; further ones are not kept. */
-#define CRASH_RECORD_MAX_CRASHES 4
+#define CRASH_RECORD_MAX_CRASHES 5
 /*
  * Beyond this number of tasks the oldest record is dropped, first of those
  * without a confirmed crash.
@@ -37,6 +37,7 @@
 	uint64_t born_ms; /* start time of the process that crashed */
 	uint64_t noted_ms;
 	bool is_alone; /* it ran nothing else */
+	bool is_in_wave; /* many workers crashed then, whatever they ran */
 	bool is_confirmed; /* unset: it may still be running, out of reach */
 	bool is_withdrawn; /* the run has ended, the worker has not crashed */
 };
@@ -55,6 +56,7 @@
 	CRASH_NONE,
 	CRASH_SUSPECT, /* may start on a worker that runs nothing else */
 	CRASH_UNDECIDED, /* waits until the last crashes are confirmed */
+	CRASH_IN_WAVE, /* a suspect, but waits until the wave is over */
 	CRASH_GUILTY, /* never starts again */
 };
 
@@ -107,10 +109,15 @@
 /*
  * Judges a task by its record, which may be NULL. Two crashes of workers that
  * ran nothing else prove its guilt, and so do three crashes: a suspect runs
- * beside others only where another leader did not know of its crashes.
+ * beside others only where another leader did not know of its crashes. Crashes
+ * in a wave are weaker evidence: three crashes must include one outside of a
+ * wave under which the worker ran nothing else; five prove the guilt anyway.
  */
 enum crash_verdict crash_judge(const struct crash_record *record);
 
+/* Returns true if the record holds as many crashes as are kept. */
+bool crash_is_full(const struct crash_record *record);
+
 /* Marks a record as changed here, so that crash_has_unsent returns true. */
 void crash_mark_unsent(struct crash_records *records,
 		       struct crash_record *record);
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -256,7 +256,7 @@
 	char name[STEP_JOB_TASK_BYTES];
 
 	lease_name_task(name, task);
-	crash_forget(dispatch->crashes, name);
+	lease_clear_suspect(dispatch, name);
 }
 
 /* Ends the job if this was its last task. */
@@ -989,7 +989,7 @@
 		struct pool_worker *worker;
 
 		if (!may_start_task(dispatch, task) ||
-		    !lease_may_start(dispatch, task))
+		    !lease_may_start(dispatch, task, now_ms))
 			continue;
 		request.avoid = task->avoid;
 #ifndef BREAK_TRIAL
--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -9,39 +9,216 @@
 /* One worker of so many is reserved for suspects at most, and one at least. */
 #define RESERVED_DIVISOR 64
 #define EXPIRE_INTERVAL_MS 1000
+#define JUDGE_INTERVAL_MS 100
 /* The other workers of its rack have answered by then, unless they are lost. */
 #define RACK_ANSWERS_MS 1000
+/*
+ * A wave: within this time before or after a crash, so many workers and one of
+ * so many went by themselves.
+ */
+#define WAVE_REACH_MS 2000
+#define WAVE_MIN_WORKERS 4
+#define WAVE_DIVISOR 20
 
 struct crash_records *lease_crashes(struct lease_dispatch *dispatch)
 {
 	return dispatch->crashes;
 }
 
+/* Waves */
+
+/* Workers that went within a time, other than by tasks that crash workers. */
+struct losses {
+	uint32_t by_themselves; /* all that ran there has ended done since */
+	uint32_t open; /* a suspect that ran there has not been tried yet */
+	uint32_t workers;
+};
+
+static bool has_crash(const struct crash_record *record,
+		      const struct pool_worker *worker)
+{
+	for (uint32_t i = 0; i < record->count; i++)
+		if (record->crashes[i].worker == worker->key &&
+		    record->crashes[i].born_ms == worker->went_born_ms)
+			return true;
+	return false;
+}
+
+/* Returns true if a task that has not ended is suspected of the loss. */
+static bool has_untried_suspect(struct lease_dispatch *dispatch,
+				const struct pool_worker *worker)
+{
+	const struct crash_record *record = crash_first(dispatch->crashes);
+
+	for (; record; record = record->hh.next)
+		if (has_crash(record, worker) &&
+		    lease_find_task(dispatch, record->task))
+			return true;
+	return false;
+}
+
+/* Returns true if a task went with this worker and with enough others. */
+static bool has_likely_cause(const struct lease_dispatch *dispatch,
+			     const struct pool_worker *worker)
+{
+	const struct crash_record *record = crash_first(dispatch->crashes);
+
+	for (; record; record = record->hh.next)
+		if (has_crash(record, worker) &&
+		    crash_judge(record) == CRASH_GUILTY)
+			return true;
+	return false;
+}
+
+/* It may be out of reach until it is back, or its registration has ended. */
+static bool has_crashed(const struct pool_worker *worker)
+{
+	return !worker->registered || worker->born_ms > worker->went_born_ms;
+}
+
+static struct losses count_losses(struct lease_dispatch *dispatch,
+				  uint64_t at_ms)
+{
+	struct losses losses = { 0, 0, 0 };
+	const struct pool_worker *worker;
+
+	TAILQ_FOREACH(worker, pool_workers(dispatch->pool), entry) {
+		bool went = worker->went_ms &&
+			    worker->went_ms + WAVE_REACH_MS >= at_ms &&
+			    worker->went_ms <= at_ms + WAVE_REACH_MS;
+
+		losses.workers += worker->registered || went;
+		if (!went)
+			continue;
+		if (has_crashed(worker) && worker->went_leased &&
+		    !worker->went_suspects)
+			losses.by_themselves++;
+		else if (!has_likely_cause(dispatch, worker) &&
+			 has_untried_suspect(dispatch, worker))
+			losses.open++;
+	}
+	return losses;
+}
+
+static bool is_wave(uint32_t lost, uint32_t workers)
+{
+#ifdef BREAK_CRASH_WAVE
+	return false;
+#endif
+	return lost >= WAVE_MIN_WORKERS && lost >= workers / WAVE_DIVISOR;
+}
+
+static bool may_be_wave(const struct losses *losses)
+{
+	return is_wave(losses->by_themselves + losses->open, losses->workers);
+}
+
+/*
+ * Marks the crashes that fell into a wave, which may become apparent later.
+ * Returns true if that is not known yet of a crash.
+ */
+static bool mark_waves(struct lease_dispatch *dispatch,
+		       struct crash_record *record)
+{
+	bool is_open = false;
+
+	for (uint32_t i = 0; i < record->count; i++) {
+		struct crash_note *crash = &record->crashes[i];
+		struct losses losses;
+
+		if (crash->is_in_wave)
+			continue;
+		losses = count_losses(dispatch, crash->noted_ms);
+		if (is_wave(losses.by_themselves, losses.workers)) {
+			crash->is_in_wave = true;
+			crash_mark_unsent(dispatch->crashes, record);
+		} else {
+			is_open |= may_be_wave(&losses);
+		}
+	}
+	return is_open;
+}
+
+void lease_clear_suspect(struct lease_dispatch *dispatch, const char *task)
+{
+	const struct crash_record *record = crash_find(dispatch->crashes, task);
+
+	for (uint32_t i = 0; record && i < record->count; i++)
+		pool_clear_suspect(dispatch->pool, record->crashes[i].worker,
+				   record->crashes[i].born_ms);
+	crash_forget(dispatch->crashes, task);
+}
+
 /* Records */
 
-static void log_verdict(const struct crash_record *record)
+static void log_verdict(struct lease_dispatch *dispatch,
+			const struct crash_record *record,
+			enum crash_verdict verdict)
 {
-	uint32_t alone = 0, confirmed = 0;
+	uint32_t alone = 0, confirmed = 0, in_wave = 0;
+	uint64_t last_ms = 0;
+	struct losses losses;
 
 	for (uint32_t i = 0; i < record->count; i++) {
-		alone += record->crashes[i].is_alone;
-		confirmed += record->crashes[i].is_confirmed;
+		const struct crash_note *crash = &record->crashes[i];
+
+		alone += crash->is_alone;
+		confirmed += crash->is_confirmed;
+		in_wave += crash->is_in_wave;
+		if (crash->noted_ms > last_ms)
+			last_ms = crash->noted_ms;
 	}
+	losses = count_losses(dispatch, last_ms);
 	log_warning(LOG_JOB,
 		    "task %s: %u workers crashed under it, %u confirmed, %u "
-		    "ran nothing else: %s",
-		    record->task, record->count, confirmed, alone,
-		    crash_verdict_text(crash_judge(record)));
+		    "ran nothing else, %u in a wave; within %d ms of the last "
+		    "%u of %u workers went by themselves, %u may have: %s",
+		    record->task, record->count, confirmed, alone, in_wave,
+		    WAVE_REACH_MS, losses.by_themselves, losses.workers,
+		    losses.open, crash_verdict_text(verdict));
+}
+
+static enum crash_verdict judge(struct lease_dispatch *dispatch,
+				struct crash_record *record)
+{
+	enum crash_verdict verdict = crash_judge(record);
+	bool is_open;
+
+	if (verdict != CRASH_GUILTY)
+		return verdict;
+	is_open = mark_waves(dispatch, record);
+	verdict = crash_judge(record);
+	if (verdict == CRASH_GUILTY && is_open && !crash_is_full(record))
+		return CRASH_UNDECIDED;
+	return verdict;
+}
+
+/* The verdict has to be taken now that a wave is over, or was none. */
+static enum crash_verdict judge_waiting(struct lease_dispatch *dispatch,
+					struct crash_record *record,
+					uint64_t now_ms)
+{
+	enum crash_verdict verdict = judge(dispatch, record);
+	struct losses losses;
+
+	if (verdict != CRASH_IN_WAVE)
+		return verdict;
+	losses = count_losses(dispatch, now_ms);
+	return may_be_wave(&losses) ? CRASH_IN_WAVE : CRASH_SUSPECT;
 }
 
 static void judge_task(struct lease_dispatch *dispatch, const char *name)
 {
+	struct crash_record *record = crash_find(dispatch->crashes, name);
 	struct task *task = lease_find_task(dispatch, name);
 
-	if (!task)
-		return;
-	task->verdict = crash_judge(crash_find(dispatch->crashes, name));
-	dispatch->has_guilty |= task->verdict == CRASH_GUILTY;
+	if (task) {
+		task->verdict = record ? judge(dispatch, record) : CRASH_NONE;
+		dispatch->has_guilty |= task->verdict == CRASH_GUILTY;
+	}
+	if (record)
+		log_verdict(dispatch, record,
+			    task ? task->verdict : crash_judge(record));
 }
 
 static void note(struct lease_dispatch *dispatch, const char *name,
@@ -53,7 +230,6 @@
 		return;
 	record = crash_find(dispatch->crashes, name);
 	crash_mark_unsent(dispatch->crashes, record);
-	log_verdict(record);
 	judge_task(dispatch, name);
 }
 
@@ -225,7 +401,7 @@
 bool lease_judge_job(struct lease_dispatch *dispatch, struct lease_job *job,
 		     uint64_t now_ms)
 {
-	const struct crash_record *record = crash_first(dispatch->crashes);
+	struct crash_record *record = crash_first(dispatch->crashes);
 
 	for (; record; record = record->hh.next) {
 		struct task *task;
@@ -235,7 +411,7 @@
 		task = lease_find_task(dispatch, record->task);
 		if (!task || task->state == TASK_DONE)
 			continue;
-		task->verdict = crash_judge(record);
+		task->verdict = judge(dispatch, record);
 		if (task->verdict == CRASH_GUILTY) {
 			give_up(dispatch, job, record->task, now_ms);
 			return false;
@@ -245,20 +421,31 @@
 	return true;
 }
 
-bool lease_may_start(struct lease_dispatch *dispatch, struct task *task)
+bool lease_may_start(struct lease_dispatch *dispatch, struct task *task,
+		     uint64_t now_ms)
 {
 	char name[STEP_JOB_TASK_BYTES];
+	struct crash_record *record;
+	enum crash_verdict verdict = CRASH_NONE;
 
 	if (task->verdict <= CRASH_SUSPECT)
 		return true;
+	if (!dispatch->judges_waiting)
+		return false;
 	lease_name_task(name, task);
-	task->verdict = crash_judge(crash_find(dispatch->crashes, name));
-	return task->verdict <= CRASH_SUSPECT;
+	record = crash_find(dispatch->crashes, name);
+	if (record)
+		verdict = judge_waiting(dispatch, record, now_ms);
+	if (record && verdict != task->verdict)
+		log_verdict(dispatch, record, verdict);
+	task->verdict = verdict;
+	dispatch->has_guilty |= verdict == CRASH_GUILTY;
+	return verdict <= CRASH_SUSPECT;
 }
 
 void lease_apply_crashes(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
-	const struct crash_record *record = crash_first(dispatch->crashes);
+	struct crash_record *record = crash_first(dispatch->crashes);
 
 	dispatch->has_guilty = false;
 	for (; record; record = record->hh.next) {
@@ -266,7 +453,7 @@
 
 		if (!task || task->state == TASK_DONE)
 			continue;
-		task->verdict = crash_judge(record);
+		task->verdict = judge(dispatch, record);
 		if (task->verdict == CRASH_GUILTY)
 			give_up(dispatch, task->job, record->task, now_ms);
 		else
@@ -330,7 +517,6 @@
 		if (fate == FATE_CRASHED) {
 			crash->is_confirmed = true;
 			crash_mark_unsent(dispatch->crashes, record);
-			log_verdict(record);
 		} else if (fate == FATE_LIVES) {
 			crash_withdraw(dispatch->crashes, record, i);
 			if (!--count)
@@ -472,6 +658,9 @@
 
 void lease_tick_crashes(struct lease_dispatch *dispatch, uint64_t now_ms)
 {
+	dispatch->judges_waiting = dispatch->next_judge_ms <= now_ms;
+	if (dispatch->judges_waiting)
+		dispatch->next_judge_ms = now_ms + JUDGE_INTERVAL_MS;
 	if (dispatch->next_expire_ms <= now_ms) {
 		crash_expire(dispatch->crashes, now_ms);
 		crash_expire(dispatch->unlikely, now_ms);
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -122,6 +122,8 @@
 	struct crash_records *unlikely; /* of workers silent with their rack */
 	bool has_guilty; /* a task whose job is to be given up */
 	uint64_t next_expire_ms; /* of crashes */
+	uint64_t next_judge_ms; /* of tasks that wait for a verdict */
+	bool judges_waiting; /* in the next round of starts */
 	uint32_t reserved; /* workers reserved for suspects */
 	uint32_t unplaced_suspects; /* of the last round of starts */
 	bool is_alone_full; /* no worker is free for one in this round */
@@ -158,9 +160,13 @@
 
 /*
  * Returns false while too many workers may have crashed under a task. Judges it
- * anew: unconfirmed crashes expire.
+ * anew: unconfirmed crashes expire, and waves end.
  */
-bool lease_may_start(struct lease_dispatch *dispatch, struct task *task);
+bool lease_may_start(struct lease_dispatch *dispatch, struct task *task,
+		     uint64_t now_ms);
+
+/* Removes the record of a task that has ended done: it crashed no worker. */
+void lease_clear_suspect(struct lease_dispatch *dispatch, const char *task);
 
 /*
  * Returns a worker that runs nothing else, for a suspect; NULL if none is free.
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -121,6 +121,31 @@
 			pool_send_hold(pool, mate, 0, now_ms);
 }
 
+/*
+ * Notes that the worker's process has crashed or is out of reach, whether it
+ * ran tasks or not; unless it left as planned.
+ */
+static void note_went(const struct lease_pool *pool, struct pool_worker *worker,
+		      uint64_t now_ms)
+{
+	if (!worker->born_ms || worker->draining ||
+	    worker->went_born_ms == worker->born_ms)
+		return;
+	worker->went_ms = now_ms;
+	worker->went_born_ms = worker->born_ms;
+	worker->went_leased = pool->fence && worker->state == POOL_HELD;
+	worker->went_suspects = worker->run_count;
+}
+
+void pool_clear_suspect(struct lease_pool *pool, uint64_t key, uint64_t born_ms)
+{
+	struct pool_worker *worker;
+
+	HASH_FIND(hh_key, pool->by_key, &key, sizeof(key), worker);
+	if (worker && worker->went_born_ms == born_ms && worker->went_suspects)
+		worker->went_suspects--;
+}
+
 /*
  * Reports a worker that restarted or fell silent under its runs, unless it left
  * as planned. Returns true if it has crashed.
@@ -133,6 +158,7 @@
 	enum pool_crash crash = POOL_CRASH_LIKELY;
 	enum pool_rack rack;
 
+	note_went(pool, worker, now_ms);
 	if (!worker->run_count || !worker->born_ms || worker->draining)
 		return false;
 	rack = pool_rack_state(pool, worker, since_ms);
@@ -595,6 +621,7 @@
 		pool_forget_late_starts(worker);
 		worker->state = POOL_UNHELD;
 		worker->is_reserved = false;
+		worker->went_leased = false;
 		worker->hold_pending = false;
 		worker->hold_serial = 0;
 		/* If this instance leads again, it reads all ends again. */
@@ -691,6 +718,8 @@
 		next = LIST_NEXT(run, in_worker);
 		pool_tick_run(pool, run, now_ms);
 	}
+	if (!worker->run_count && worker->failures >= POOL_LOST_HOLDS)
+		note_went(pool, worker, now_ms);
 	if (is_lost_to_all(worker, now_ms))
 		pool_close_all(pool, worker, now_ms);
 	if (worker->run_count && worker->state != POOL_FOREIGN &&
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -86,6 +86,10 @@
 	uint64_t born_ms;
 	bool is_born_answered; /* by the worker, not only in a registration */
 	uint64_t restarted_ms; /* when this was noticed; 0: never */
+	uint64_t went_ms; /* when a process was last found gone; 0: never */
+	uint64_t went_born_ms; /* start time of that process */
+	bool went_leased; /* all that it ran then is known */
+	uint32_t went_suspects; /* of that, tasks that have not ended done */
 	bool draining;
 	bool registered;
 	uint64_t unregistered_ms; /* when its registration was removed */
@@ -466,6 +470,10 @@
  */
 void pool_tick(struct lease_pool *pool, uint64_t now_ms);
 
+/* Notes that a task has ended done with which a process of a worker went. */
+void pool_clear_suspect(struct lease_pool *pool, uint64_t key,
+			uint64_t born_ms);
+
 /* Returns the worker with that key; NULL if there is none. */
 const struct pool_worker *pool_find_by_key(const struct lease_pool *pool,
 					   uint64_t key);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -460,6 +460,8 @@
 		pool->room_version++;
 	worker->failures = 0;
 	worker->lost_ms = 0;
+	if (worker->went_born_ms == worker->born_ms)
+		worker->went_ms = worker->went_born_ms = 0;
 	worker->mates_probed = false;
 	worker->retry_ms = 0;
 	worker->answered_ms = now_ms;
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -375,6 +375,158 @@
 }
 END_TEST
 
+/* Many workers crash within seconds, whatever they run. */
+
+#define WAVE_WORKERS 20
+#define WAVE_MATES 3 /* that crash with each worker of the task */
+#define WAVE_LENGTH_MS 3000
+#define CALM_MS 5000 /* by when a wave is over */
+#define MAX_CRASHES_IN_WAVE 5
+
+static void add_workers(void)
+{
+	for (int i = 5; i <= WAVE_WORKERS; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		fake_orders_add_worker(fake, id, 4000);
+	}
+	fake_orders_lead(fake, 10);
+}
+
+static void answer_all(const bool crashed[], bool are_crashed)
+{
+	for (int i = 1; i <= WAVE_WORKERS; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		if (crashed[i] == are_crashed)
+			fake_orders_answer_hold(fake, id, NULL, 0, NULL, 0);
+	}
+}
+
+/* The worker crashes, and with it the mates after next. */
+static void crash_with_mates(const char *worker, int *next)
+{
+	bool crashed[WAVE_WORKERS + 1] = { false };
+
+	crashed[atoi(worker + 1)] = true;
+	for (int i = 0; i < WAVE_MATES; i++)
+		crashed[1 + (*next)++ % WAVE_WORKERS] = true;
+	for (int i = 1; i <= WAVE_WORKERS; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		if (!crashed[i])
+			continue;
+		fake_orders_restart_worker(fake, id, fake->now_ms);
+		if (strcmp(id, worker) != 0)
+			register_again(id, fake->now_ms, false);
+	}
+	fake_orders_advance(fake, DOWN_MS);
+	for (int i = 0; i < 2; i++) {
+		answer_all(crashed, false);
+		answer_all(crashed, true);
+	}
+	register_again(worker, fake->now_ms - DOWN_MS, false);
+}
+
+/* Returns the number of crashes of workers that ran the task. */
+static uint32_t run_wave(const char *task)
+{
+	uint64_t end_ms = fake->now_ms + WAVE_LENGTH_MS;
+	uint64_t last_token = 0;
+	uint32_t crashes = 0;
+	int next = 0;
+
+	while (fake->now_ms < end_ms) {
+		const struct fake_orders_order *start =
+			fake_orders_started(fake, task);
+		char worker[32] = "w1";
+
+		if (start && start->token != last_token) {
+			last_token = start->token;
+			memcpy(worker, start->worker, sizeof(worker));
+			fake_orders_answer_start(fake, start, POOL_OK);
+			crashes++;
+		}
+		fake_orders_advance(fake, RUN_MS);
+		crash_with_mates(worker, &next);
+		fake_orders_advance(fake, 20);
+	}
+	return crashes;
+}
+
+/* No worker crashes for a while. */
+static void stay_calm(void)
+{
+	static const bool none[WAVE_WORKERS + 1];
+
+	for (int i = 0; i < CALM_MS; i += 100) {
+		fake_orders_advance(fake, 100);
+		answer_all(none, false);
+	}
+}
+
+/* The task meets crashes alone, or first with a neighbour. */
+static uint32_t submit_into_wave(bool with_neighbour,
+				 struct lease_waiter *waiter)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct lease_submission other =
+		fake_orders_submission("00000000000000a2", 1);
+
+	add_workers();
+	job.remaining_ms = other.remaining_ms = BUDGET_MS;
+	*waiter = job.waiter;
+	fake_orders_submit(fake, &job);
+	if (with_neighbour) {
+		fake_orders_submit(fake, &other);
+		acknowledge("00000000000000a2.0.0.0");
+	}
+	return run_wave(TASK);
+}
+
+static struct lease_answer answer_to(struct lease_waiter waiter)
+{
+	for (size_t i = 0; i < fake->answer_count; i++)
+		if (fake->answers[i].waiter.request == waiter.request)
+			return fake->answers[i];
+	ck_abort_msg("not answered");
+}
+
+START_TEST(test_wave_of_crashes_fails_no_job)
+{
+	struct pool_listed_end end = { 1, TASK, 0, POOL_DONE };
+	struct lease_waiter waiter;
+	uint32_t crashes = submit_into_wave(_i, &waiter);
+	const struct fake_orders_order *start;
+
+	ck_assert_uint_ge(crashes, MAX_ALONE_CRASHES);
+	ck_assert_msg(!fake->answer_count, "%u crashes: ended, %s", crashes,
+		      lease_reason_text(fake->answers[0].reason));
+	stay_calm();
+	start = fake_orders_started(fake, TASK);
+	ck_assert_uint_gt(start->number, crashes);
+	fake_orders_answer_start(fake, start, POOL_OK);
+	end.number = start->number;
+	fake_orders_answer_hold(fake, start->worker, NULL, 0, &end, 1);
+	ck_assert_int_eq(answer_to(waiter).end, LEASE_COMPLETED);
+}
+END_TEST
+
+START_TEST(test_task_that_crashes_workers_in_a_wave_is_bounded)
+{
+	struct lease_waiter waiter;
+	uint32_t crashes = submit_into_wave(_i, &waiter);
+
+	stay_calm();
+	crashes += crash_all(TASK);
+	ck_assert_uint_le(crashes, MAX_CRASHES_IN_WAVE);
+	ck_assert_int_eq(answer_to(waiter).reason, LEASE_CRASHES);
+}
+END_TEST
+
 /* Whole instances, with neighbours on each worker. */
 
 #define LAST_SEED 12
@@ -491,6 +643,10 @@
 	tcase_add_test(alone, test_task_goes_with_silent_workers);
 	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
 	tcase_add_test(alone, test_worker_that_crashes_by_itself_fails_no_job);
+	tcase_add_loop_test(alone, test_wave_of_crashes_fails_no_job, 0, 2);
+	tcase_add_loop_test(alone,
+			    test_task_that_crashes_workers_in_a_wave_is_bounded,
+			    0, 2);
 	suite_add_tcase(suite, alone);
 	for (size_t i = 0; i < sizeof(plays) / sizeof(plays[0]); i++) {
 		TCase *site = tcase_create(plays[i]->name);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -4595,7 +4595,7 @@
   (ProtobufCMessageInit) bergamot__worker_answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__worker_crash__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bergamot__worker_crash__field_descriptors[7] =
 {
   {
     "worker",
@@ -4669,19 +4669,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "in_wave",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__WorkerCrash, in_wave),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__worker_crash__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   2,   /* field[2] = alone */
   1,   /* field[1] = born_ms */
   3,   /* field[3] = confirmed */
+  6,   /* field[6] = in_wave */
   5,   /* field[5] = withdrawn */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange bergamot__worker_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bergamot__worker_crash__descriptor =
 {
@@ -4691,7 +4704,7 @@
   "Bergamot__WorkerCrash",
   "bergamot",
   sizeof(Bergamot__WorkerCrash),
-  6,
+  7,
   bergamot__worker_crash__field_descriptors,
   bergamot__worker_crash__field_indices_by_name,
   1,  bergamot__worker_crash__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -753,10 +753,14 @@
    * The run has ended, and the worker did not crash.
    */
   protobuf_c_boolean withdrawn;
+  /*
+   * Many workers crashed at the time, whatever they ran.
+   */
+  protobuf_c_boolean in_wave;
 };
 #define BERGAMOT__WORKER_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__worker_crash__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bergamot__TaskCrashes
