core: a worker that is missing from the list has not crashed (LOST)

A crash under a task that was not certain was confirmed, for good, once the worker's registration was removed. It also lapses behind a cut, while the worker lives. A leader that gives up its claim tells the next one of its open runs; if two of their workers had run nothing else and were not listed, the next leader failed the job at once.

Evidence: test_lapsed_registration_behind_a_cut_is_no_crash and test_announced_runs_on_unlisted_workers_fail_no_job, both failing before:

Why this works: a missing worker is unknown. Its crash is confirmed by a later start time, or once it has been silent for the longest partition allowed for; a worker that answers withdraws it.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -10,6 +10,8 @@
 #define RESERVED_DIVISOR 64
 #define EXPIRE_INTERVAL_MS 1000
 #define JUDGE_INTERVAL_MS 100
+/* A crash that is not confirmed by then is about to be dropped. */
+#define LOST_FOR_GOOD_MS (CRASH_UNCONFIRMED_KEEP_MS - EXPIRE_INTERVAL_MS)
 /* The other workers of its rack have answered by then, unless they are lost. */
 #define RACK_ANSWERS_MS 1000
 /*
@@ -482,6 +484,23 @@
 	return now_ms - since_ms > RACK_ANSWERS_MS ? FATE_LIVES : FATE_UNKNOWN;
 }
 
+/*
+ * A registration also lapses behind a cut, while its worker lives: only the
+ * longest silence proves a crash.
+ */
+static enum fate find_unlisted_fate(const struct pool_worker *worker,
+				    const struct crash_note *crash,
+				    uint64_t now_ms)
+{
+	if (worker->draining)
+		return FATE_LIVES;
+#ifdef BREAK_UNLISTED_CRASH
+	return FATE_CRASHED;
+#endif
+	return now_ms - crash->noted_ms >= LOST_FOR_GOOD_MS ? FATE_CRASHED
+							    : FATE_UNKNOWN;
+}
+
 static enum fate find_fate(struct lease_dispatch *dispatch,
 			   const struct crash_note *crash, uint64_t now_ms)
 {
@@ -494,7 +513,7 @@
 	    worker->answered_ms > crash->noted_ms)
 		return FATE_LIVES;
 	if (worker && !worker->registered)
-		return worker->draining ? FATE_LIVES : FATE_CRASHED;
+		return find_unlisted_fate(worker, crash, now_ms);
 	return FATE_UNKNOWN;
 }
 
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -266,6 +266,74 @@
 }
 END_TEST
 
+/*
+ * As above, and its registration lapses meanwhile, as the worker is cut off
+ * from the store, too: it answers as the process that it was.
+ */
+START_TEST(test_lapsed_registration_behind_a_cut_is_no_crash)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	char worker[32];
+
+	job.remaining_ms = BUDGET_MS;
+	fake_orders_submit(fake, &job);
+	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	for (int i = 0; i < 100 && fake->start_count < 2; i++) {
+		fake_orders_lose_hold(fake, worker);
+		answer_mates(worker);
+		fake_orders_advance(fake, 130);
+	}
+	ck_assert_uint_eq(fake->start_count, 2);
+	pool_unregister_worker(lease_pool(fake->dispatch), worker,
+			       fake->now_ms);
+	fake_orders_advance(fake, 300);
+	register_again(worker, 1, false);
+	fake_orders_advance(fake, 300);
+	fake_orders_answer_hold(fake, worker, NULL, 0, NULL, 0);
+	fake_orders_advance(fake, 100);
+	ck_assert(POOL_HELD == pool_find_by_key(lease_pool(fake->dispatch),
+						crash_worker_key(worker))
+				       ->state);
+	ck_assert_ptr_null(record_of(TASK));
+}
+END_TEST
+
+/*
+ * Runs that former leaders announced when they gave up their claims; the
+ * registrations lapsed with the store. The workers live, and are not asked.
+ */
+START_TEST(test_announced_runs_on_unlisted_workers_fail_no_job)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct crash_note crash = {
+		.noted_ms = fake->now_ms,
+		.born_ms = 1,
+		.is_alone = true,
+	};
+
+	ck_assert_uint_eq(pool_find_by_key(lease_pool(fake->dispatch),
+					   crash_worker_key("w1"))
+				  ->born_ms,
+			  crash.born_ms);
+	pool_release(lease_pool(fake->dispatch));
+	pool_unregister_worker(lease_pool(fake->dispatch), "w1", fake->now_ms);
+	pool_unregister_worker(lease_pool(fake->dispatch), "w2", fake->now_ms);
+	crash.worker = crash_worker_key("w1");
+	crash_note(lease_crashes(fake->dispatch), TASK, &crash);
+	crash.worker = crash_worker_key("w2");
+	crash_note(lease_crashes(fake->dispatch), TASK, &crash);
+	fake_orders_lead(fake, 6);
+	fake_orders_advance(fake, 100);
+	register_again("w1", 1, false);
+	register_again("w2", 1, false);
+	fake_orders_advance(fake, 100);
+	answer_mates("none");
+	fake_orders_submit(fake, &job);
+	fake_orders_advance(fake, 100);
+	ck_assert_uint_eq(fake->answer_count, 0);
+}
+END_TEST
+
 /* Workers whose ids are in gone refuse holds, the others answer. */
 static void answer_unless_gone(const char *gone)
 {
@@ -639,6 +707,10 @@
 	tcase_add_test(alone, test_planned_leave_is_no_crash);
 	tcase_add_test(alone, test_lost_rack_is_no_crash);
 	tcase_add_test(alone, test_lapse_behind_a_cut_is_no_crash);
+	tcase_add_test(alone,
+		       test_lapsed_registration_behind_a_cut_is_no_crash);
+	tcase_add_test(alone,
+		       test_announced_runs_on_unlisted_workers_fail_no_job);
 	tcase_add_test(alone, test_lease_of_a_lost_worker_lapses);
 	tcase_add_test(alone, test_task_goes_with_silent_workers);
 	tcase_add_test(alone, test_resent_job_of_a_guilty_task);
