core/tests: a frozen instance opens a link only if it has sent its Hello

Cause: the simulation of (now "no job over a link whose leader may not have read it") let a link open to an instance at any time of its freeze. A process sends its Hello by itself, so the other side has a link only if it froze after that, at most the network's delay before.

Change: the simulation asks for that; the order of the test moves with it.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -132,6 +132,7 @@
 	struct lease_node_ports ports;
 	uint64_t incarnation; /* 0: killed */
 	uint64_t lives;
+	uint64_t frozen_since_ms;
 	uint64_t frozen_until_ms;
 	uint64_t restart_ms;
 	uint64_t stop_ends_ms;
@@ -744,9 +745,17 @@
 	schedule_event(play, EV_LINK_UP, node, 0)->from = other->incarnation;
 }
 
+/* Returns true if an instance has sent its Hello, before it froze if it has. */
+static bool has_sent_hello(const struct play *play, const struct node *node)
+{
+	return node->lease_node &&
+	       (!is_frozen(play, node) ||
+		play->now_ms - node->frozen_since_ms <= NETWORK_MS);
+}
+
 static void link_nodes(struct play *play, struct node *a, struct node *b)
 {
-	if (a == b || !a->lease_node || !b->lease_node ||
+	if (a == b || !has_sent_hello(play, a) || !has_sent_hello(play, b) ||
 	    (is_frozen(play, a) && is_frozen(play, b)) ||
 	    play->cut[a->index][b->index] || play->cut[b->index][a->index])
 		return;
@@ -1158,6 +1167,7 @@
 {
 	if (!is_running(play, node))
 		return false;
+	node->frozen_since_ms = play->now_ms;
 	node->frozen_until_ms = play->now_ms + ms;
 	return true;
 }
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -479,8 +479,8 @@
 /* The leader, paused for a moment, reads the new link later than its entry. */
 START_TEST(test_two_runs_after_a_leader_was_late_to_read_a_new_link)
 {
-	check_one_run("1 2 0 0 0 0 390:reset_link(1,0) 480:freeze(0,470) "
-		      "947:partition(1,1) 2067:cut_worker(0,0)");
+	check_one_run("1 2 0 0 0 0 390:reset_link(1,0) 499:freeze(0,460) "
+		      "956:partition(1,1) 2056:cut_worker(0,0)");
 }
 END_TEST
 
