core: an idle worker that is silent has not crashed (LOST)

Cause: the silence of an idle worker's new process was noted as its crash and replaced that of the old one, so that few of a wave's losses were counted.

Change: for an idle worker only a restart, or silence once its registration has ended, counts. The log line of a verdict is written by the verdict that is in force.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -213,14 +213,16 @@
 {
 	struct crash_record *record = crash_find(dispatch->crashes, name);
 	struct task *task = lease_find_task(dispatch, name);
+	enum crash_verdict verdict = CRASH_NONE;
 
-	if (task) {
-		task->verdict = record ? judge(dispatch, record) : CRASH_NONE;
-		dispatch->has_guilty |= task->verdict == CRASH_GUILTY;
+	if (record) {
+		verdict = judge(dispatch, record);
+		log_verdict(dispatch, record, verdict);
 	}
-	if (record)
-		log_verdict(dispatch, record,
-			    task ? task->verdict : crash_judge(record));
+	if (!task)
+		return;
+	task->verdict = verdict;
+	dispatch->has_guilty |= verdict == CRASH_GUILTY;
 }
 
 static void note(struct lease_dispatch *dispatch, const char *name,
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -718,7 +718,7 @@
 		next = LIST_NEXT(run, in_worker);
 		pool_tick_run(pool, run, now_ms);
 	}
-	if (!worker->run_count && worker->failures >= POOL_LOST_HOLDS)
+	if (!worker->run_count && !worker->registered && worker->failures)
 		note_went(pool, worker, now_ms);
 	if (is_lost_to_all(worker, now_ms))
 		pool_close_all(pool, worker, now_ms);
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -15,6 +15,7 @@
 #define STOP_MS 50
 #define MAX_NODES 160
 #define MAX_WORKERS 1200
+#define WAVE_LENGTH_MS 4000
 #define MAX_RUNS 16
 #define MAX_ENDS 256
 #define WORKER_MILLI 4000
@@ -1504,6 +1505,25 @@
 				     &site->random, site->options->workers)]);
 }
 
+/* Some worker crashes for a reason of its own. */
+static void crash_in_wave(struct site *site)
+{
+	struct worker *w = &site->workers[random_below(&site->random,
+						       site->options->workers)];
+
+	log_info(LOG_TARGET, "at %" PRIu64 " ms: worker %s crashes by itself",
+		 site->now_ms, w->id);
+	restart_worker(site, w);
+	w->down_until_ms = site->now_ms + site->options->down_ms;
+}
+
+static bool is_wave_crash_due(const struct fake_site_options *o, uint64_t at_ms)
+{
+	return o->wave_every_ms && at_ms >= o->wave_ms &&
+	       at_ms < o->wave_ms + WAVE_LENGTH_MS &&
+	       !(at_ms % o->wave_every_ms);
+}
+
 static void react(struct site *site, struct node *node)
 {
 	uint64_t until_ms = site->now_ms + CUT_OFF_MS;
@@ -1801,6 +1821,8 @@
 			submit_new_job(site);
 		if (random_below(&site->random, 1000) < options->faults_per_s)
 			inject_fault(site);
+		if (is_wave_crash_due(options, i))
+			crash_in_wave(site);
 		if (i + 1 == options->kill_all_ms)
 			kill_all(site);
 		step(site);
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -67,6 +67,12 @@
 	 */
 	uint32_t deadly_percent;
 	uint32_t down_ms;
+	/*
+	 * From wave_ms on, for 4 s, a random worker crashes every so often and
+	 * is back after down_ms; 0: never.
+	 */
+	uint32_t wave_ms;
+	uint32_t wave_every_ms;
 	uint32_t react_at;
 	uint32_t react_ms;
 	enum fake_site_reaction reaction;
