core/tests: one set-up for a lease that lapses behind a cut

The comment on open losses names the end of a suspect rather than its trial, as is_open_loss asks for the end.

No change of the product.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -32,7 +32,7 @@
 /* Workers that went within a time, other than by tasks that crash workers. */
 struct losses {
 	uint32_t by_themselves; /* all that ran there has ended done since */
-	uint32_t open; /* a suspect that ran there has not been tried yet */
+	uint32_t open; /* a suspect that ran there has not ended yet */
 	uint32_t workers;
 };
 
--- a/packages/core/tests/test_lease_crash.c
+++ b/packages/core/tests/test_lease_crash.c
@@ -242,21 +242,31 @@
 }
 END_TEST
 
-/* The worker's lease lapses while it is out of reach, and it returns. */
-START_TEST(test_lapse_behind_a_cut_is_no_crash)
+/*
+ * Starts the task, and cuts its worker off until the lease has lapsed and the
+ * task has started elsewhere.
+ */
+static void lapse_behind_a_cut(char *worker, size_t size)
 {
 	struct lease_submission job = fake_orders_submission(ID, 1);
-	char worker[32];
 
 	job.remaining_ms = BUDGET_MS;
 	fake_orders_submit(fake, &job);
-	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
+	snprintf(worker, size, "%s", acknowledge(TASK));
 	for (int i = 0; i < 100 && fake->start_count < 2; i++) {
 		fake_orders_lose_hold(fake, worker);
 		answer_mates(worker);
 		fake_orders_advance(fake, 130);
 	}
 	ck_assert_uint_eq(fake->start_count, 2);
+}
+
+/* The worker's lease lapses while it is out of reach, and it returns. */
+START_TEST(test_lapse_behind_a_cut_is_no_crash)
+{
+	char worker[32];
+
+	lapse_behind_a_cut(worker, sizeof(worker));
 	ck_assert_ptr_nonnull(record_of(TASK));
 	ck_assert_int_eq(crash_judge(record_of(TASK)), CRASH_SUSPECT);
 	fake_orders_advance(fake, 300);
@@ -272,18 +282,9 @@
  */
 START_TEST(test_lapsed_registration_behind_a_cut_is_no_crash)
 {
-	struct lease_submission job = fake_orders_submission(ID, 1);
 	char worker[32];
 
-	job.remaining_ms = BUDGET_MS;
-	fake_orders_submit(fake, &job);
-	snprintf(worker, sizeof(worker), "%s", acknowledge(TASK));
-	for (int i = 0; i < 100 && fake->start_count < 2; i++) {
-		fake_orders_lose_hold(fake, worker);
-		answer_mates(worker);
-		fake_orders_advance(fake, 130);
-	}
-	ck_assert_uint_eq(fake->start_count, 2);
+	lapse_behind_a_cut(worker, sizeof(worker));
 	pool_unregister_worker(lease_pool(fake->dispatch), worker,
 			       fake->now_ms);
 	fake_orders_advance(fake, 300);
