core, adapters: how calls to a worker that went have failed

A worker that crashes closes its connections; behind a cut calls time out. A log showed both as 'holds not answered (8)' or '(9)', the numbers of 'no connection' and 'no answer', so that a verdict by crashes could not be checked against it.

The HTTP client tells a connection that was closed or refused from one that timed out; the pool has an answer for each, keeps how the first failed hold of a silent worker failed, and logs texts in place of numbers. No decision depends on it yet. A leader of an older version takes the new answers, which a relay hands on, for 'no answer'.

--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -1,6 +1,7 @@
 #include "adapters/http_client.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -98,6 +99,27 @@
 						: HTTP_CLIENT_BROKEN;
 }
 
+/* ABORTED_BY_CALLBACK: a kept-alive connection was closed; see before_send. */
+static bool is_closed(const struct transfer *t, CURLcode code)
+{
+	long error = 0;
+
+	switch (code) {
+	case CURLE_COULDNT_CONNECT:
+		curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &error);
+		return t->may_be_sent || error == ECONNREFUSED ||
+		       error == ECONNRESET;
+	case CURLE_ABORTED_BY_CALLBACK:
+	case CURLE_GOT_NOTHING:
+	case CURLE_PARTIAL_FILE:
+	case CURLE_RECV_ERROR:
+	case CURLE_SEND_ERROR:
+		return t->may_be_sent;
+	default:
+		return false;
+	}
+}
+
 static void release_transfer(struct transfer *t)
 {
 	struct http_client *client = t->client;
@@ -121,6 +143,7 @@
 	struct http_client *client = t->client;
 
 	t->answer.status = transfer_status(t, code);
+	t->answer.is_closed = is_closed(t, code);
 	t->answer.message = curl_easy_strerror(code);
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE,
 			  &t->answer.http_status);
--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -59,6 +59,11 @@
 
 struct http_client_answer {
 	enum http_client_status status;
+	/*
+	 * No complete answer: the server closed the connection, or refused it.
+	 * Unset if nothing came from it in time.
+	 */
+	bool is_closed;
 	long http_status;
 	char *body; /* NUL-terminated; talloc_steal it to keep it */
 	size_t body_len;
--- a/packages/adapters/tests/test_http_client.c
+++ b/packages/adapters/tests/test_http_client.c
@@ -121,6 +121,19 @@
 	send_one(60000, 0);
 	run_until(&f->answer_count, 1);
 	ck_assert_int_eq(f->answers[0].status, HTTP_CLIENT_NOT_SENT);
+	ck_assert(f->answers[0].is_closed);
+}
+END_TEST
+
+/* The server ends while it handles the request. */
+START_TEST(test_connection_closed)
+{
+	send_one(60000, 0);
+	run_until(&f->held_count, 1);
+	TALLOC_FREE(f->server);
+	run_until(&f->answer_count, 1);
+	ck_assert_int_eq(f->answers[0].status, HTTP_CLIENT_BROKEN);
+	ck_assert(f->answers[0].is_closed);
 }
 END_TEST
 
@@ -140,6 +153,7 @@
 	send_one(MAX_SEND_MS, 0);
 	run_until(&f->answer_count, 1);
 	ck_assert_int_eq(f->answers[0].status, HTTP_CLIENT_TIMEOUT);
+	ck_assert(!f->answers[0].is_closed);
 	ck_assert_int_eq(f->held_count, 1);
 }
 END_TEST
@@ -190,6 +204,7 @@
 	send_one(20, 0);
 	run_until(&f->answer_count, 1);
 	ck_assert_int_eq(f->answers[0].status, HTTP_CLIENT_NOT_SENT);
+	ck_assert(!f->answers[0].is_closed);
 	ck_assert_int_eq(f->held_count, 1);
 }
 END_TEST
@@ -222,6 +237,7 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, test_answered);
 	tcase_add_test(tc, test_no_connection);
+	tcase_add_test(tc, test_connection_closed);
 	tcase_add_test(tc, test_too_large);
 	tcase_add_test(tc, test_timeout);
 	tcase_add_test(tc, test_too_late_to_send);
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -70,6 +70,23 @@
 	POOL_STOPPING,
 };
 
+enum pool_answer {
+	POOL_OK,
+	POOL_FENCED, /* the worker has seen a higher fencing token */
+	POOL_RUN_OLD, /* the worker has seen this run number or a higher one */
+	POOL_DEADLINE_PASSED, /* on the worker's clock */
+	POOL_DOES_NOT_FIT,
+	POOL_INVALID, /* the worker cannot parse the call */
+	POOL_UNHEALTHY, /* the worker has carried out nothing */
+	POOL_RESTARTED,
+	POOL_NOT_SENT, /* the connection was refused */
+	POOL_NO_ANSWER, /* the worker may carry out the call, also later */
+	/* The connection was closed; otherwise like POOL_NO_ANSWER. */
+	POOL_CLOSED,
+	POOL_NO_CONNECTION, /* not sent: none came about in time */
+	POOL_ANSWER_COUNT,
+};
+
 struct pool_worker {
 	UT_hash_handle hh;
 	UT_hash_handle hh_key;
@@ -111,6 +128,7 @@
 	uint32_t failures; /* unanswered holds in a row */
 	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
 	uint64_t lost_ms; /* time of the first of them; 0: answers holds */
+	enum pool_answer lost_by; /* how that hold failed */
 	bool mates_probed; /* since lost_ms */
 	uint64_t retry_ms; /* no hold is sent before */
 	uint64_t answered_ms; /* time of the last answer to a hold */
@@ -216,19 +234,6 @@
 	void (*stop)(void *ctx, const struct pool_stop_call *call);
 };
 
-enum pool_answer {
-	POOL_OK,
-	POOL_FENCED, /* the worker has seen a higher fencing token */
-	POOL_RUN_OLD, /* the worker has seen this run number or a higher one */
-	POOL_DEADLINE_PASSED, /* on the worker's clock */
-	POOL_DOES_NOT_FIT,
-	POOL_INVALID, /* the worker cannot parse the call */
-	POOL_UNHEALTHY, /* the worker has carried out nothing */
-	POOL_RESTARTED,
-	POOL_NOT_SENT, /* no connection */
-	POOL_NO_ANSWER, /* the worker may carry out the call, also later */
-};
-
 struct pool_reply {
 	enum pool_answer answer;
 	uint64_t clock_ms; /* the worker's clock; 0: unknown */
@@ -519,6 +524,15 @@
 bool pool_fits(const struct pool_worker *worker,
 	       const struct step_job_demand *demand);
 
+/* Returns a stable text for an answer, for logs. */
+const char *pool_answer_text(enum pool_answer answer);
+
+/* Returns true if the worker has not received the call. */
+bool pool_is_unsent(enum pool_answer answer);
+
+/* Returns true if the worker may carry out the call, also later. */
+bool pool_may_be_late(enum pool_answer answer);
+
 /* Returns a stable word for an end, for logs. */
 const char *pool_end_text(enum pool_end how);
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -416,19 +416,24 @@
 		wait_ms = MAX_RETRY_MS;
 	/* The first retry is immediate: the lease may lapse soon. */
 	worker->retry_ms = worker->failures ? now_ms + wait_ms : now_ms;
-	if (!worker->failures)
+	if (!worker->failures) {
 		worker->silent_ms = worker->lost_ms = now_ms;
-	if (answer == POOL_NOT_SENT)
+		worker->lost_by = answer;
+	}
+	if (pool_is_unsent(answer))
 		worker->silent_ms = 0;
 	/* Nothing listens there: no task starts on it from now on. */
-	if (answer == POOL_NOT_SENT && worker->failures < POOL_LOST_HOLDS)
+	if (pool_is_unsent(answer) && worker->failures < POOL_LOST_HOLDS)
 		worker->failures = POOL_LOST_HOLDS - 1;
 	if (++worker->failures == POOL_LOST_HOLDS)
 		log_warning(LOG_TARGET,
-			    "worker %s: holds not answered (%d), last answer "
+			    "worker %s: holds not answered (%s, the first one "
+			    "%" PRIu64 " ms ago: %s), last answer "
 			    "%" PRIu64 " ms ago, %u open runs; starting no "
 			    "tasks on it",
-			    worker->id, (int)answer,
+			    worker->id, pool_answer_text(answer),
+			    now_ms - worker->lost_ms,
+			    pool_answer_text(worker->lost_by),
 			    worker->answered_ms ? now_ms - worker->answered_ms
 						: 0,
 			    worker->run_count);
@@ -442,8 +447,10 @@
 	if (!worker || worker->state != POOL_HELD ||
 	    worker->failures >= POOL_LOST_HOLDS)
 		return;
-	if (!worker->failures)
+	if (!worker->failures) {
 		worker->silent_ms = worker->lost_ms = now_ms;
+		worker->lost_by = POOL_NO_ANSWER;
+	}
 	worker->failures = POOL_LOST_HOLDS;
 	worker->retry_ms = now_ms;
 }
@@ -513,7 +520,7 @@
 		pool_mark_foreign(pool, worker, now_ms);
 	else
 		pool_hold_failed(worker, reply->answer, now_ms);
-	if (reply->answer == POOL_NOT_SENT)
+	if (pool_is_unsent(reply->answer))
 		restore_lease(worker);
 	pool_send_due_hold(pool, worker, now_ms);
 }
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -37,6 +37,36 @@
 	return end_texts[how];
 }
 
+const char *pool_answer_text(enum pool_answer answer)
+{
+	static const char *const texts[POOL_ANSWER_COUNT] = {
+		[POOL_OK] = "ok",
+		[POOL_FENCED] = "fenced",
+		[POOL_RUN_OLD] = "run number too low",
+		[POOL_DEADLINE_PASSED] = "deadline passed",
+		[POOL_DOES_NOT_FIT] = "no room",
+		[POOL_INVALID] = "invalid call",
+		[POOL_UNHEALTHY] = "unhealthy",
+		[POOL_RESTARTED] = "another process",
+		[POOL_NOT_SENT] = "connection refused",
+		[POOL_NO_ANSWER] = "timeout",
+		[POOL_CLOSED] = "connection closed",
+		[POOL_NO_CONNECTION] = "no connection in time",
+	};
+
+	return texts[answer];
+}
+
+bool pool_is_unsent(enum pool_answer answer)
+{
+	return answer == POOL_NOT_SENT || answer == POOL_NO_CONNECTION;
+}
+
+bool pool_may_be_late(enum pool_answer answer)
+{
+	return answer == POOL_NO_ANSWER || answer == POOL_CLOSED;
+}
+
 static void reserve_demand(struct lease_pool *pool, struct pool_worker *worker,
 			   const struct step_job_demand *d)
 {
@@ -384,14 +414,15 @@
 
 	log_info(LOG_TARGET,
 		 "job %s: worker %s refused the start of task %s run %u, "
-		 "answer %d",
-		 run->job, worker->id, run->name, run->number, (int)answer);
+		 "answer: %s",
+		 run->job, worker->id, run->name, run->number,
+		 pool_answer_text(answer));
 	counter_add(COUNTER_TASKS_REFUSED, 1);
 	if (answer == POOL_DOES_NOT_FIT)
 		worker->blocked_until_ms = now_ms + ROOM_BLOCK_MS;
 	else if (answer == POOL_UNHEALTHY)
 		worker->blocked_until_ms = now_ms + UNHEALTHY_BLOCK_MS;
-	else if (answer == POOL_NOT_SENT)
+	else if (pool_is_unsent(answer))
 		pool_hold_failed(worker, answer, now_ms);
 	pool_close_run(pool, run, refusal_end(answer), now_ms);
 }
@@ -402,7 +433,7 @@
 {
 	double error_ms =
 		(double)(now_ms - run->sent_ms) - pool->mean_answer_ms;
-	bool unanswered = answer == POOL_NO_ANSWER;
+	bool unanswered = pool_may_be_late(answer);
 
 	pool->unanswered_share +=
 		MEAN_ANSWER_WEIGHT * (unanswered - pool->unanswered_share);
@@ -442,12 +473,14 @@
 			run->state = POOL_ACTIVE;
 		break;
 	case POOL_NO_ANSWER:
+	case POOL_CLOSED:
 		log_warning(LOG_TARGET,
 			    "job %s: worker %s did not answer the start of "
-			    "task %s run %u in time; the run counts as open "
+			    "task %s run %u: %s; the run counts as open "
 			    "until the worker lists its end or stops it, or "
 			    "its lease lapses",
-			    run->job, worker->id, run->name, run->number);
+			    run->job, worker->id, run->name, run->number,
+			    pool_answer_text(reply->answer));
 		counter_add(COUNTER_TASKS_UNKNOWN, 1);
 		if (run->state != POOL_STARTING)
 			break;
--- a/packages/core/lease_relay.c
+++ b/packages/core/lease_relay.c
@@ -243,7 +243,7 @@
  */
 static void record_answer(struct route *route, enum pool_answer answer)
 {
-	if (answer != POOL_NO_ANSWER && answer != POOL_NOT_SENT) {
+	if (!pool_may_be_late(answer) && !pool_is_unsent(answer)) {
 		route->failures = 0;
 	} else if (++route->failures >= MAX_RELAY_FAILURES) {
 		route->failures = 0;
@@ -522,7 +522,7 @@
 {
 	struct pending *p = remove_pending(lease_relay, from);
 	struct pool_reply reply = {
-		.answer = from->answer <= POOL_NO_ANSWER
+		.answer = from->answer < POOL_ANSWER_COUNT
 				  ? (enum pool_answer)from->answer
 				  : POOL_NO_ANSWER,
 		.clock_ms = from->clock_ms,
