core: a refusal by a worker's successor is told once (task waits forever)

Callers would see a job of a long time budget without an end: a task whose start had no answer did not start again while another process, with an id of its own, listened at the worker's address.

Cause: each refusal (POOL_RESTARTED) reset the worker, which extended the time by which its runs' lease lapses and repeated the stop at once. Class of fault: an event that is told again counts as a new one.

Change: only the first refusal resets the worker; a start that was refused by another process was not carried out and closes at once.

BREAK_REPLACED restores the first.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -213,6 +213,7 @@
 	pool_close_previous_runs(pool, worker, how, now_ms);
 	pool_reopen_late_starts(pool, worker, now_ms);
 	worker->restarted_ms = now_ms;
+	worker->is_replaced = false;
 	worker->lost_ms = 0;
 	worker->held_until_ms = 0;
 	worker->mates_probed = false;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -103,6 +103,7 @@
 	uint64_t born_ms;
 	bool is_born_answered; /* by the worker, not only in a registration */
 	uint64_t restarted_ms; /* when this was noticed; 0: never */
+	bool is_replaced; /* another worker listens at its address */
 	uint64_t went_ms; /* when a process was last found gone; 0: never */
 	uint64_t went_born_ms; /* start time of that process */
 	bool went_leased; /* all that it ran then is known */
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -480,6 +480,7 @@
 		pool->room_version++;
 	worker->failures = 0;
 	worker->lost_ms = 0;
+	worker->is_replaced = false;
 	worker->replaced_holds = 0;
 	worker->answered_serial = serial;
 	if (worker->went_born_ms == worker->born_ms)
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -453,6 +453,21 @@
 		MEAN_ANSWER_WEIGHT * (error_ms - pool->answer_deviation_ms);
 }
 
+/*
+ * The process that we called has ended. Its runs without an answer are stopped
+ * until their lease lapses, as the worker may restart under its id.
+ */
+static void note_replaced(struct lease_pool *pool, struct pool_worker *worker,
+			  uint64_t now_ms)
+{
+#ifndef BREAK_REPLACED
+	if (worker->is_replaced)
+		return;
+#endif
+	pool_reset_worker(pool, worker, now_ms);
+	worker->is_replaced = true;
+}
+
 void pool_start_answered(struct lease_pool *pool, uint64_t token,
 			 const struct pool_reply *reply, uint64_t now_ms)
 {
@@ -505,7 +520,8 @@
 		pool_close_run(pool, run, POOL_NOT_RUN, now_ms);
 		break;
 	case POOL_RESTARTED:
-		pool_reset_worker(pool, worker, now_ms);
+		start_refused(pool, run, reply->answer, now_ms);
+		note_replaced(pool, worker, now_ms);
 		break;
 	default:
 		start_refused(pool, run, reply->answer, now_ms);
@@ -544,7 +560,7 @@
 		else
 			run->stop_retry_ms = now_ms;
 	} else if (reply->answer == POOL_RESTARTED) {
-		pool_reset_worker(pool, worker, now_ms);
+		note_replaced(pool, worker, now_ms);
 	}
 	pool_send_due_hold(pool, worker, now_ms);
 }
--- a/packages/core/tests/fake_orders.c
+++ b/packages/core/tests/fake_orders.c
@@ -185,8 +185,8 @@
 		fake_orders_answer_hold(fake, worker->id, NULL, 0, NULL, 0);
 }
 
-static void fail_hold(struct fake_orders *fake, const char *worker,
-		      enum pool_answer answer)
+void fake_orders_fail_hold(struct fake_orders *fake, const char *worker,
+			   enum pool_answer answer)
 {
 	struct pool_reply none = { .answer = answer };
 	struct fake_orders_hold *hold = pending_hold(fake, worker);
@@ -201,17 +201,17 @@
 
 void fake_orders_lose_hold(struct fake_orders *fake, const char *worker)
 {
-	fail_hold(fake, worker, POOL_NO_ANSWER);
+	fake_orders_fail_hold(fake, worker, POOL_NO_ANSWER);
 }
 
 void fake_orders_close_hold(struct fake_orders *fake, const char *worker)
 {
-	fail_hold(fake, worker, POOL_CLOSED);
+	fake_orders_fail_hold(fake, worker, POOL_CLOSED);
 }
 
 void fake_orders_refuse_hold(struct fake_orders *fake, const char *worker)
 {
-	fail_hold(fake, worker, POOL_NOT_SENT);
+	fake_orders_fail_hold(fake, worker, POOL_NOT_SENT);
 }
 
 void fake_orders_answer_start(struct fake_orders *fake,
--- a/packages/core/tests/fake_orders.h
+++ b/packages/core/tests/fake_orders.h
@@ -89,6 +89,10 @@
 /* Makes the dispatcher lead; all workers answer holds with empty lists. */
 void fake_orders_lead(struct fake_orders *fake, uint64_t fence);
 
+/* Answers the worker's pending hold without lists. */
+void fake_orders_fail_hold(struct fake_orders *fake, const char *worker,
+			   enum pool_answer answer);
+
 /* Reports the worker's pending hold as unanswered. */
 void fake_orders_lose_hold(struct fake_orders *fake, const char *worker);
 
