core: a loss that no task explains counts for a wave (LOST)

Callers would see a job as failed, reason worker_crashes, after a cut that resets connections and behind which workers restart.

Cause: such a cut looks like a crash to the leader: the connection is closed. That several workers go at once tells the two apart, but a loss counted for a wave only if all that ran there had ended done since. Tasks of jobs that ended otherwise, at their deadlines in such a cut, kept their workers out of the count. Class of fault: a lack of proof of innocence is taken for an explanation.

Change: a loss counts unless a task that ran there is guilty, or is still open; then the verdict waits, as before.

Test: test_cuts_that_reset_connections_fail_no_job; it failed before, and with BREAK_UNEXPLAINED_LOSS.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -31,11 +31,17 @@
 
 /* Workers that went within a time, other than by tasks that crash workers. */
 struct losses {
-	uint32_t by_themselves; /* all that ran there has ended done since */
+	uint32_t unexplained; /* no suspect that ran there is open or guilty */
 	uint32_t open; /* a suspect that ran there has not ended yet */
 	uint32_t workers;
 };
 
+enum explanation {
+	LOSS_UNEXPLAINED,
+	LOSS_OPEN, /* a task that has not ended is suspected of it */
+	LOSS_BY_TASK, /* of one that crashes workers */
+};
+
 static bool has_crash(const struct crash_record *record,
 		      const struct pool_worker *worker)
 {
@@ -47,11 +53,11 @@
 }
 
 /*
- * Returns true if a task that has not ended is suspected of the loss, and none
- * that went with enough other workers explains it.
+ * A suspect whose job has ended otherwise, for example at its deadline,
+ * explains nothing: it may have crashed no worker.
  */
-static bool is_open_loss(struct lease_dispatch *dispatch,
-			 const struct pool_worker *worker)
+static enum explanation explain_loss(struct lease_dispatch *dispatch,
+				     const struct pool_worker *worker)
 {
 	const struct crash_record *record = crash_first(dispatch->crashes);
 	bool is_open = false;
@@ -60,10 +66,13 @@
 		if (!has_crash(record, worker))
 			continue;
 		if (crash_judge(record) == CRASH_GUILTY)
-			return false;
+			return LOSS_BY_TASK;
 		is_open |= lease_find_task(dispatch, record->task) != NULL;
 	}
-	return is_open;
+#ifdef BREAK_UNEXPLAINED_LOSS
+	return is_open ? LOSS_OPEN : LOSS_BY_TASK;
+#endif
+	return is_open ? LOSS_OPEN : LOSS_UNEXPLAINED;
 }
 
 /* It may be out of reach until it is back, or its registration has ended. */
@@ -82,15 +91,18 @@
 		bool went = worker->went_ms &&
 			    worker->went_ms + WAVE_REACH_MS >= at_ms &&
 			    worker->went_ms <= at_ms + WAVE_REACH_MS;
+		enum explanation explanation = LOSS_UNEXPLAINED;
 
 		losses.workers += worker->registered || went;
 		if (!went)
 			continue;
-		if (has_crashed(worker) && worker->went_leased &&
-		    !worker->went_suspects)
-			losses.by_themselves++;
-		else if (is_open_loss(dispatch, worker))
+		if (worker->went_suspects)
+			explanation = explain_loss(dispatch, worker);
+		if (explanation == LOSS_OPEN)
 			losses.open++;
+		else if (explanation == LOSS_UNEXPLAINED &&
+			 has_crashed(worker) && worker->went_leased)
+			losses.unexplained++;
 	}
 	return losses;
 }
@@ -105,7 +117,7 @@
 
 static bool may_be_wave(const struct losses *losses)
 {
-	return is_wave(losses->by_themselves + losses->open, losses->workers);
+	return is_wave(losses->unexplained + losses->open, losses->workers);
 }
 
 /*
@@ -124,7 +136,7 @@
 		if (crash->is_in_wave)
 			continue;
 		losses = count_losses(dispatch, crash->noted_ms);
-		if (is_wave(losses.by_themselves, losses.workers)) {
+		if (is_wave(losses.unexplained, losses.workers)) {
 			crash->is_in_wave = true;
 			crash_mark_unsent(dispatch->crashes, record);
 		} else {
@@ -155,7 +167,7 @@
 	log_warning(LOG_JOB,
 		    "task %s: within %d ms of its last crash %u of %u workers "
 		    "went by themselves, %u may have",
-		    record->task, WAVE_REACH_MS, losses.by_themselves,
+		    record->task, WAVE_REACH_MS, losses.unexplained,
 		    losses.workers, losses.open);
 }
 
--- a/packages/core/tests/test_lease_crash_charge.c
+++ b/packages/core/tests/test_lease_crash_charge.c
@@ -314,6 +314,144 @@
 }
 END_TEST
 
+/* A cut that resets connections, of several workers at a time. */
+
+#define CUT_WORKERS 5 /* one of them runs the task */
+#define ALL_WORKERS 12
+#define OTHER_BUDGET_MS 2000
+#define SERVE_MS 10
+
+/* Each worker has a rack of its own. */
+static void add_workers(void)
+{
+	for (int i = 1; i <= ALL_WORKERS; i++) {
+		char id[8];
+		struct fake_orders_report report = {
+			.id = id, .label = id, .born_ms = 1, .milli = 4000
+		};
+
+		snprintf(id, sizeof(id), "w%d", i);
+		fake_orders_report(fake, &report);
+	}
+	fake_orders_lead(fake, 10);
+}
+
+static void submit_wide(const char *id, uint32_t budget_ms)
+{
+	struct lease_submission job = fake_orders_submission(id, 1);
+	struct job_step step = job.steps[0];
+
+	step.estimate_ms = budget_ms / 2;
+	step.demand.cpu_milli = 4000;
+	job.steps = &step;
+	job.objective_ms = job.remaining_ms = budget_ms;
+	fake_orders_submit(fake, &job);
+}
+
+/* The last start on a worker, which fills it; NULL if it was stopped. */
+static const struct fake_orders_order *find_run(const char *worker)
+{
+	for (size_t i = fake->start_count; i-- > 0;) {
+		const struct fake_orders_order *start = &fake->starts[i];
+		const struct fake_orders_order *stop;
+
+		if (strcmp(start->worker, worker) != 0)
+			continue;
+		stop = fake_orders_stopped(fake, start->task);
+		return stop && stop->token == start->token ? NULL : start;
+	}
+	return NULL;
+}
+
+/* All workers that are not cut off answer. */
+static void serve(char cut[CUT_WORKERS][32], uint64_t ms)
+{
+	for (uint64_t t = 0; t < ms; t += SERVE_MS) {
+		for (size_t i = 0; i < fake->stop_count; i++)
+			fake_orders_answer_stop(fake, &fake->stops[i], POOL_OK);
+		for (int i = 1; i <= ALL_WORKERS; i++) {
+			const struct fake_orders_order *start;
+			struct pool_listed_run run;
+			bool is_cut = false;
+			char id[8];
+
+			snprintf(id, sizeof(id), "w%d", i);
+			for (int c = 0; cut && c < CUT_WORKERS; c++)
+				is_cut |= !strcmp(cut[c], id);
+			if (is_cut) {
+				fake_orders_refuse_hold(fake, id);
+				continue;
+			}
+			start = find_run(id);
+			if (start) {
+				run = (struct pool_listed_run){ start->task,
+								start->number,
+								1 };
+				fake_orders_answer_start(fake, start, POOL_OK);
+			}
+			fake_orders_answer_hold(fake, id, &run, start != NULL,
+						NULL, 0);
+		}
+		fake_orders_advance(fake, SERVE_MS);
+	}
+}
+
+/* The workers are cut off, outlive their leases and restart. */
+static void cut_off(char workers[CUT_WORKERS][32])
+{
+	for (int i = 0; i < CUT_WORKERS; i++)
+		fake_orders_close_hold(fake, workers[i]);
+	serve(workers, DOWN_MS);
+	for (int i = 0; i < CUT_WORKERS; i++) {
+		struct fake_orders_report report = { .id = workers[i],
+						     .label = workers[i],
+						     .born_ms = fake->now_ms,
+						     .milli = 4000 };
+
+		fake_orders_restart_worker(fake, workers[i], fake->now_ms);
+		fake_orders_report(fake, &report);
+		fake_orders_answer_hold(fake, workers[i], NULL, 0, NULL, 0);
+		fake_orders_answer_hold(fake, workers[i], NULL, 0, NULL, 0);
+	}
+}
+
+/* The other jobs end at their deadlines: no task is known to be innocent. */
+START_TEST(test_cuts_that_reset_connections_fail_no_job)
+{
+	uint64_t jobs = 1000;
+
+	add_workers();
+	submit_wide(ID, BUDGET_MS);
+	for (int cut = 0; cut < MAX_ALONE_CRASHES; cut++) {
+		char workers[CUT_WORKERS][32];
+		int count = 0;
+
+		for (int i = 0; i < ALL_WORKERS; i++) {
+			char id[STEP_JOB_ID_BYTES];
+
+			snprintf(id, sizeof(id), "%016x", (int)jobs++);
+			submit_wide(id, OTHER_BUDGET_MS);
+		}
+		serve(NULL, RUN_MS);
+		snprintf(workers[count++], 32, "%s",
+			 fake_orders_started(fake, TASK)->worker);
+		for (int i = 1; i <= ALL_WORKERS && count < CUT_WORKERS; i++) {
+			char id[8];
+
+			snprintf(id, sizeof(id), "w%d", i);
+			if (find_run(id) && strcmp(workers[0], id) != 0)
+				snprintf(workers[count++], 32, "%s", id);
+		}
+		ck_assert_int_eq(count, CUT_WORKERS);
+		cut_off(workers);
+		serve(NULL, OTHER_BUDGET_MS);
+	}
+	ck_assert_uint_ge(count_charges(), MAX_ALONE_CRASHES);
+	for (size_t i = 0; i < fake->answer_count; i++)
+		ck_assert_int_ne(fake->answers[i].reason, LEASE_CRASHES);
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE(
@@ -325,5 +463,6 @@
 		test_announced_runs_of_a_lost_leader_fail_no_job,
 		test_announced_runs_are_doubtful,
 		test_worker_down_for_longer_than_its_lease_has_crashed,
-		test_task_that_silences_workers_is_bounded);
+		test_task_that_silences_workers_is_bounded,
+		test_cuts_that_reset_connections_fail_no_job);
 }
