core: a member of an older version makes no doubtful crash certain

During a rolling update a member of an older version keeps a doubtful crash without the mark that it does not know, and hands it back to members that are linked anew, which then took it for certain.

The field of the message says now that a run is known to have been under way; without it, a crash is doubtful. Crashes that a leader of an older version notes count as doubtful, too.

--- a/packages/core/lease_node_crash.c
+++ b/packages/core/lease_node_crash.c
@@ -20,7 +20,7 @@
 	row->confirmed = crash->is_confirmed;
 	row->withdrawn = crash->is_withdrawn;
 	row->in_wave = crash->is_in_wave;
-	row->doubtful = crash->is_doubtful;
+	row->under_way = !crash->is_doubtful;
 	row->age_ms = (uint32_t)(now_ms - crash->noted_ms);
 	return row;
 }
@@ -153,7 +153,7 @@
 			.is_confirmed = from->confirmed,
 			.is_withdrawn = from->withdrawn,
 			.is_in_wave = from->in_wave,
-			.is_doubtful = from->doubtful,
+			.is_doubtful = !from->under_way,
 		};
 
 		crash_note(records, row->task, &crash);
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -4682,12 +4682,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "doubtful",
+    "under_way",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bergamot__WorkerCrash, doubtful),
+    offsetof(Bergamot__WorkerCrash, under_way),
     NULL,
     NULL,
     0,             /* flags */
@@ -4699,8 +4699,8 @@
   2,   /* field[2] = alone */
   1,   /* field[1] = born_ms */
   3,   /* field[3] = confirmed */
-  7,   /* field[7] = doubtful */
   6,   /* field[6] = in_wave */
+  7,   /* field[7] = under_way */
   5,   /* field[5] = withdrawn */
   0,   /* field[0] = worker */
 };
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -758,9 +758,9 @@
    */
   protobuf_c_boolean in_wave;
   /*
-   * The run may have ended before the worker went.
+   * The run is known to have been under way when the worker went.
    */
-  protobuf_c_boolean doubtful;
+  protobuf_c_boolean under_way;
 };
 #define BERGAMOT__WORKER_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__worker_crash__descriptor) \
