core: members are told that a worker did not crash (LOST)

A leader that takes a worker for crashed tells the members; when the same process answered again, it dropped the crash from its own record only. The next leader would confirm it at the worker's next restart, within the 30 s for which it is kept.

The leader sends the withdrawal to the members that may lead next, as for a run that has ended.

--- a/packages/core/lease_dispatch_crash.c
+++ b/packages/core/lease_dispatch_crash.c
@@ -553,6 +553,17 @@
 	return FATE_UNKNOWN;
 }
 
+/* Other members have the crash, and would confirm it at a later restart. */
+static void announce_withdrawal(struct lease_dispatch *dispatch,
+				const char *task,
+				const struct crash_note *crash)
+{
+	struct crash_note withdrawn = *crash;
+
+	withdrawn.is_withdrawn = true;
+	crash_put(dispatch->ahead, task, &withdrawn);
+}
+
 /* May free the record. */
 static void settle_record(struct lease_dispatch *dispatch,
 			  struct crash_record *record, uint64_t now_ms)
@@ -573,6 +584,7 @@
 			crash->is_confirmed = true;
 			crash_mark_unsent(dispatch->crashes, record);
 		} else if (fate == FATE_LIVES) {
+			announce_withdrawal(dispatch, name, crash);
 			crash_withdraw(dispatch->crashes, record, i);
 			if (!--count)
 				break; /* the record is freed */
