core: no crash is charged while an answer may be missing (LOST)

The end of a run may be in an answer that has not arrived when the worker's end is noticed: - a restart is read, or another process answers a start, while a hold is pending; - a connection is reset, and a later hold times out: the process may live behind a cut, or a second answer is lost; - a start is refused while a hold is pending; - a worker leaves as planned, which a leader that does not follow the list of workers has not read.

Change: a crash is doubtful while a hold is pending that was sent before the worker's end was noticed, after any hold that timed out since the last answer, and while the list is not followed. What shows an end is looked for in all calls, also starts and holds that were replaced, not only in the first hold that fails. Errors of a connection other than a close or a reset show no end.

Not changed: five doubtful crashes still end a job. A task that silences workers cannot be told from five cuts in a row behind which workers restart, and BUDGET bounds the former.

--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -104,17 +104,19 @@
 {
 	long error = 0;
 
+	curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &error);
 	switch (code) {
 	case CURLE_COULDNT_CONNECT:
-		curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &error);
 		return t->may_be_sent || error == ECONNREFUSED ||
 		       error == ECONNRESET;
 	case CURLE_ABORTED_BY_CALLBACK:
 	case CURLE_GOT_NOTHING:
 	case CURLE_PARTIAL_FILE:
+		return t->may_be_sent;
 	case CURLE_RECV_ERROR:
 	case CURLE_SEND_ERROR:
-		return t->may_be_sent;
+		return t->may_be_sent &&
+		       (!error || error == ECONNRESET || error == EPIPE);
 	default:
 		return false;
 	}
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -147,12 +147,14 @@
 }
 
 /*
- * Returns true if the process ended while its runs were under way: its first
- * unanswered hold shows that, or its restart does and all holds were answered,
- * before the lease lapsed. Behind a cut, runs may have ended before the process
- * did, and the answer that listed their ends may be lost.
+ * Returns true if the process is known to have ended while its runs were under
+ * way: a call shows that, or a restart does, before the lease lapsed. Behind a
+ * cut, runs may have ended before the process did, so no answer to a hold may
+ * be missing: it may have listed their ends. A process whose list of workers is
+ * not followed does not know of planned leaves.
  */
-static bool is_seen_going(const struct pool_worker *worker, uint64_t now_ms)
+static bool is_seen_going(const struct lease_pool *pool,
+			  const struct pool_worker *worker, uint64_t now_ms)
 {
 #ifdef BREAK_CRASH_TIME
 	return true;
@@ -160,12 +162,14 @@
 #ifdef BREAK_CRASH_SEEN
 	return false;
 #endif
-	if (worker->state != POOL_HELD || worker->replaced_holds)
+	if (worker->state != POOL_HELD || worker->replaced_holds ||
+	    worker->answer_lost || !pool->list_followed_ms)
 		return false;
 	if (!worker->failures)
-		return now_ms <= worker->held_until_ms;
-	return pool_shows_end(worker->lost_by) &&
-	       worker->lost_ms <= worker->held_until_ms;
+		return !worker->hold_pending && now_ms <= worker->held_until_ms;
+	if (worker->hold_pending && worker->hold_sent_ms < worker->closed_ms)
+		return false;
+	return worker->closed_ms && worker->closed_ms <= worker->held_until_ms;
 }
 
 /*
@@ -183,7 +187,7 @@
 	note_went(pool, worker, now_ms);
 	if (!worker->run_count || !worker->born_ms || worker->draining)
 		return false;
-	worker->went_seen = is_seen_going(worker, now_ms);
+	worker->went_seen = is_seen_going(pool, worker, now_ms);
 	rack = pool_rack_state(pool, worker, since_ms);
 	if (is_restarted && rack != POOL_RACK_LOST)
 		crash = POOL_CRASH_CERTAIN;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -79,11 +79,11 @@
 	POOL_INVALID, /* the worker cannot parse the call */
 	POOL_UNHEALTHY, /* the worker has carried out nothing */
 	POOL_RESTARTED,
-	POOL_NOT_SENT, /* the connection was refused */
+	POOL_NOT_SENT, /* no connection */
 	POOL_NO_ANSWER, /* the worker may carry out the call, also later */
 	/* The connection was closed; otherwise like POOL_NO_ANSWER. */
 	POOL_CLOSED,
-	POOL_NO_CONNECTION, /* not sent: none came about in time */
+	POOL_REFUSED, /* the connection was; otherwise like POOL_NOT_SENT */
 	POOL_ANSWER_COUNT,
 };
 
@@ -136,6 +136,8 @@
 	uint64_t silent_ms; /* since the first of them; 0: nothing listens */
 	uint64_t lost_ms; /* time of the first of them; 0: answers holds */
 	enum pool_answer lost_by; /* how that hold failed */
+	uint64_t closed_ms; /* first of them that shows an end; 0: none */
+	bool answer_lost; /* perhaps, of one of them */
 	bool mates_probed; /* since lost_ms */
 	uint64_t retry_ms; /* no hold is sent before */
 	uint64_t answered_ms; /* time of the last answer to a hold */
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -417,6 +417,13 @@
 	}
 }
 
+void pool_note_closed(struct pool_worker *worker, enum pool_answer answer,
+		      uint64_t now_ms)
+{
+	if (pool_shows_end(answer) && !worker->closed_ms)
+		worker->closed_ms = now_ms;
+}
+
 void pool_hold_failed(struct pool_worker *worker, enum pool_answer answer,
 		      uint64_t now_ms)
 {
@@ -433,6 +440,9 @@
 		worker->silent_ms = worker->lost_ms = now_ms;
 		worker->lost_by = answer;
 	}
+	if (!pool_shows_end(answer) && !pool_is_unsent(answer))
+		worker->answer_lost = true;
+	pool_note_closed(worker, answer, now_ms);
 	if (pool_is_unsent(answer))
 		worker->silent_ms = 0;
 	/* Nothing listens there: no task starts on it from now on. */
@@ -464,6 +474,7 @@
 		worker->silent_ms = worker->lost_ms = now_ms;
 		worker->lost_by = POOL_NO_ANSWER;
 	}
+	worker->answer_lost = true;
 	worker->failures = POOL_LOST_HOLDS;
 	worker->retry_ms = now_ms;
 }
@@ -482,6 +493,8 @@
 	worker->lost_ms = 0;
 	worker->is_replaced = false;
 	worker->replaced_holds = 0;
+	worker->closed_ms = 0;
+	worker->answer_lost = false;
 	worker->answered_serial = serial;
 	if (worker->went_born_ms == worker->born_ms)
 		worker->went_ms = worker->went_born_ms = 0;
@@ -518,6 +531,8 @@
 	worker->hold_pending = false;
 	worker->hold_serial = 0;
 	worker->replaced_holds = 0;
+	worker->closed_ms = 0;
+	worker->answer_lost = false;
 	worker->answered_serial = pool->next_serial;
 }
 
@@ -533,15 +548,18 @@
 /* The answer to a replaced hold is not applied: a newer one is pending. */
 static void replaced_hold_answered(struct pool_worker *worker, uint64_t serial,
 				   const struct pool_reply *reply,
-				   const struct pool_lists *lists)
+				   const struct pool_lists *lists,
+				   uint64_t now_ms)
 {
 	bool is_complete = reply->answer == POOL_OK
 				   ? !lists_new_end(worker, lists)
 				   : pool_shows_end(reply->answer);
 
-	if (serial > worker->answered_serial && worker->replaced_holds &&
-	    is_complete)
-		worker->replaced_holds--;
+	if (serial <= worker->answered_serial || !worker->replaced_holds ||
+	    !is_complete)
+		return;
+	worker->replaced_holds--;
+	pool_note_closed(worker, reply->answer, now_ms);
 }
 
 void pool_hold_answered(struct lease_pool *pool, const char *id,
@@ -554,7 +572,7 @@
 	if (!pool->fence || !worker)
 		return;
 	if (worker->hold_serial != serial) {
-		replaced_hold_answered(worker, serial, reply, lists);
+		replaced_hold_answered(worker, serial, reply, lists, now_ms);
 		return;
 	}
 	worker->hold_pending = false;
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -48,10 +48,10 @@
 		[POOL_INVALID] = "invalid call",
 		[POOL_UNHEALTHY] = "unhealthy",
 		[POOL_RESTARTED] = "another process",
-		[POOL_NOT_SENT] = "connection refused",
+		[POOL_REFUSED] = "connection refused",
 		[POOL_NO_ANSWER] = "timeout",
 		[POOL_CLOSED] = "connection closed",
-		[POOL_NO_CONNECTION] = "no connection in time",
+		[POOL_NOT_SENT] = "no connection",
 	};
 
 	return texts[answer];
@@ -59,12 +59,12 @@
 
 bool pool_is_unsent(enum pool_answer answer)
 {
-	return answer == POOL_NOT_SENT || answer == POOL_NO_CONNECTION;
+	return answer == POOL_REFUSED || answer == POOL_NOT_SENT;
 }
 
 bool pool_shows_end(enum pool_answer answer)
 {
-	return answer == POOL_CLOSED || answer == POOL_NOT_SENT ||
+	return answer == POOL_CLOSED || answer == POOL_REFUSED ||
 	       answer == POOL_RESTARTED;
 }
 
@@ -506,6 +506,7 @@
 			    run->job, worker->id, run->name, run->number,
 			    pool_answer_text(reply->answer));
 		counter_add(COUNTER_TASKS_UNKNOWN, 1);
+		pool_note_closed(worker, reply->answer, now_ms);
 		if (run->state != POOL_STARTING)
 			break;
 		run->state = POOL_UNCONFIRMED;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -150,6 +150,10 @@
 /* Sends the probe that pool_probe_all has scheduled, if it is due. */
 void pool_send_due_probes(struct lease_pool *pool, uint64_t now_ms);
 
+/* Notes how a call failed, if that shows that the worker's process ended. */
+void pool_note_closed(struct pool_worker *worker, enum pool_answer answer,
+		      uint64_t now_ms);
+
 void pool_hold_failed(struct pool_worker *worker, enum pool_answer answer,
 		      uint64_t now_ms);
 
--- a/packages/core/tests/fake_orders.c
+++ b/packages/core/tests/fake_orders.c
@@ -211,7 +211,7 @@
 
 void fake_orders_refuse_hold(struct fake_orders *fake, const char *worker)
 {
-	fake_orders_fail_hold(fake, worker, POOL_NOT_SENT);
+	fake_orders_fail_hold(fake, worker, POOL_REFUSED);
 }
 
 void fake_orders_answer_start(struct fake_orders *fake,
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -637,7 +637,7 @@
 	e = create_event(play, EV_ANSWER, node);
 	e->call = call;
 	e->reply.answer = answer;
-	if (answer != POOL_NOT_SENT) {
+	if (answer != POOL_REFUSED) {
 		e->reply.clock_ms = worker_clock(play, w);
 		e->reply.born_ms = w->born_ms;
 	}
@@ -665,7 +665,7 @@
 	struct worker *w = &play->workers[call->worker];
 
 	if (w->down_until_ms > play->now_ms) {
-		answer_call(play, call, POOL_NOT_SENT);
+		answer_call(play, call, POOL_REFUSED);
 		return;
 	}
 	w->connected[call->node] = true;
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -844,7 +844,7 @@
 	reply->worker = e->worker;
 	reply->token = e->token;
 	reply->reply.answer = answer;
-	if (answer == POOL_NOT_SENT)
+	if (answer == POOL_REFUSED)
 		return;
 	reply->reply.clock_ms = clock_of(site, e->worker);
 	reply->reply.born_ms = e->worker->born;
@@ -857,7 +857,7 @@
 	if (!w)
 		return;
 	if (w->down_until_ms > site->now_ms) {
-		reply_later(site, e, POOL_NOT_SENT);
+		reply_later(site, e, POOL_REFUSED);
 		return;
 	}
 	if (e->fence < w->fence) {
