core: no lease outlasts the time at which a caller may come again (TWICE)

Cause, in all five orders: the leader with the first run believes that the caller still waits, for as long as it has not given up the entry (1.5 s after the beat that the entry echoed last) and a lease more (2.55 s); the evidence is silence. The caller comes again 1.3 s after the loss. The next leader believes that a new job is new, without evidence.

Class of fault: a party acts on a state that another one may have left unheard, without a bound on how old its evidence is.

Change: an entry sends a cancel before its next beat over the same link. So the beat of ours that an entry echoed last says when the callers of all jobs that it has not cancelled still waited. No lease is granted beyond LEASE_RESEND_MS after that for a run of these jobs; a start has the same limit. A job that arrives counts from when its entry may have sent it. As a lease covers all runs on a worker, jobs of a silent entry are given up after 1.0 s in place of 1.5 s (LEASE_ABANDON_MS 400), so that their stops are acknowledged before the lease of their neighbours lapses, and a hold waits for half of the lease at most.

Evidence: the five orders give two runs on and none now; they are in test_lease_orders, with the same check.

An entry that is paused for 1.0 to 1.5 s loses its jobs now; it kept them before.

Not covered: a caller's connection that breaks at the platform while its entry holds it for open.

--- a/packages/core/leader_member.c
+++ b/packages/core/leader_member.c
@@ -362,6 +362,8 @@
 	member->stopping = beat->stopping;
 	member->overloaded = beat->overloaded;
 	member->config_version = beat->config_version;
+	if (beat->echo_ms <= now_ms && beat->echo_ms > member->echoed_ms)
+		member->echoed_ms = beat->echo_ms;
 	if (beat->echo_ms && beat->echo_ms <= now_ms &&
 	    beat->echo_ms + LEADER_VALID_MS > member->valid_until_ms)
 		member->valid_until_ms = beat->echo_ms + LEADER_VALID_MS;
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -66,6 +66,7 @@
 	uint64_t clock_ms; /* its clock in its last beat, to be echoed */
 	int64_t clock_ahead_ms; /* lower bound of its clock less ours */
 	uint64_t valid_until_ms; /* it may count us as live until this time */
+	uint64_t echoed_ms; /* it has sent a beat since; 0: never */
 	uint64_t claim; /* 0: it does not claim to lead */
 	bool majority; /* it leads in touch with most members */
 	bool resigned; /* gave up its claim, as its last beat says */
--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -328,6 +328,45 @@
 	LIST_INSERT_HEAD(&job->waiters, w, entry);
 }
 
+static uint64_t last_waited_ms(const struct lease_dispatch *dispatch,
+			       uint64_t entry, uint64_t now_ms)
+{
+	const struct lease_options *options = &dispatch->options;
+
+	return options->last_waited_ms
+		       ? options->last_waited_ms(options->ctx, entry, now_ms)
+		       : now_ms;
+}
+
+static void note_waited(struct lease_job *job, uint64_t waited_ms)
+{
+	if (waited_ms > job->waited_ms)
+		job->waited_ms = waited_ms;
+}
+
+/*
+ * The caller may have lost its connection just after it was last known to wait,
+ * and then sends the job again, perhaps to a leader that knows nothing of us.
+ */
+static uint64_t find_run_limit(void *ctx, const struct pool_run *run,
+			       uint64_t now_ms)
+{
+	const struct lease_dispatch *dispatch = ctx;
+	const struct task *task = run->task;
+	const struct waiter_link *w;
+	uint64_t waited_ms, last_ms;
+
+	if (!task)
+		return UINT64_MAX;
+	last_ms = task->job->waited_ms;
+	LIST_FOREACH(w, &task->job->waiters, entry) {
+		waited_ms = last_waited_ms(dispatch, w->waiter.entry, now_ms);
+		if (waited_ms > last_ms)
+			last_ms = waited_ms;
+	}
+	return last_ms + LEASE_RESEND_MS;
+}
+
 static void create_tasks(struct lease_job *job, uint32_t first_number)
 {
 	job->states =
@@ -424,6 +463,7 @@
 	create_tasks(job, 1 + from->handed * RUN_NUMBERS_PER_LEADER);
 	LIST_INIT(&job->waiters);
 	add_waiter(job, &from->waiter);
+	note_waited(job, from->waited_ms);
 	HASH_ADD_STR(dispatch->jobs, id, job);
 	dispatch->waiting_tasks += job->waiting;
 	return job;
@@ -581,6 +621,7 @@
 				 : 0);
 		counter_add(COUNTER_JOBS_JOINED, 1);
 		add_waiter(job, &from->waiter);
+		note_waited(job, from->waited_ms);
 		return true;
 	}
 	if (!f)
@@ -676,6 +717,7 @@
 void lease_remove_entry(struct lease_dispatch *dispatch, uint64_t entry,
 			uint64_t lost_ms, uint64_t keep_ms)
 {
+	uint64_t waited_ms = last_waited_ms(dispatch, entry, lost_ms);
 	struct lease_job *job, *next;
 	uint32_t count = 0;
 
@@ -685,6 +727,7 @@
 		remove_waiters(job, entry, NULL);
 		if (!LIST_EMPTY(&job->waiters))
 			continue;
+		note_waited(job, waited_ms);
 		job->abandon_at_ms = lost_ms + keep_ms;
 #ifdef BREAK_ABANDON
 		job->abandon_at_ms = lost_ms;
@@ -1258,6 +1301,7 @@
 		.found_run = adopt_run,
 		.found_done = adopt_done,
 		.worker_gone = lease_on_worker_gone,
+		.find_run_limit = find_run_limit,
 		.ctx = dispatch,
 	};
 
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -68,6 +68,7 @@
 	uint64_t age_ms; /* since the caller's request */
 	uint32_t handed; /* number of earlier leaders that had the job */
 	uint64_t closed_in_ms; /* until none of their runs can be open */
+	uint64_t waited_ms; /* its caller has waited for it then or later */
 	const char *text;
 	const struct job_step *steps;
 	uint32_t step_count;
@@ -102,6 +103,12 @@
 	 * pool_note_list_current is called. NULL: the list is always current.
 	 */
 	void (*refresh_workers)(void *ctx);
+	/*
+	 * Returns a time then or after which the callers of an entry instance
+	 * waited for those of its jobs that it has not cancelled. NULL: they
+	 * wait now.
+	 */
+	uint64_t (*last_waited_ms)(void *ctx, uint64_t entry, uint64_t now_ms);
 	void *ctx;
 };
 
@@ -137,14 +144,15 @@
 
 /*
  * An entry instance that was paused for a moment has resubmitted its jobs by
- * then.
+ * then. If it has not, their stops are acknowledged before the lease has lapsed
+ * that covers them and other runs.
  */
-#define LEASE_ABANDON_MS 900
+#define LEASE_ABANDON_MS 400
 /*
  * An entry instance whose link broke has opened it again by then. If it has
  * ended, its callers send their jobs again, to any instance and perhaps another
- * leader, from LEASE_RESEND_MS after the loss on: by then the lease of a run
- * that was last renewed now has lapsed.
+ * leader, from LEASE_RESEND_MS after the loss on: by then the lease of each run
+ * has lapsed.
  */
 #define LEASE_RELINK_MS 200
 #define LEASE_RESEND_MS 1300
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -60,6 +60,8 @@
 	uint64_t earlier_runs_over_ms;
 	uint64_t probe_after_ms;
 	uint64_t abandon_at_ms; /* time to stop it; 0: it has a waiter */
+	/* Its caller has waited then or later, as lost entries showed. */
+	uint64_t waited_ms;
 	char *text;
 	struct job_step *steps;
 	struct step_state *states;
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -475,6 +475,21 @@
 					       lease_node->active_ms);
 }
 
+/*
+ * An entry sends a cancel before its next beat over the same link. So when it
+ * received the beat that it echoes, its callers still waited for their jobs.
+ */
+static uint64_t last_waited_ms(void *ctx, uint64_t entry, uint64_t now_ms)
+{
+	struct lease_node *lease_node = ctx;
+	const struct leader_member *m;
+
+	if (entry == lease_node->options.incarnation)
+		return now_ms;
+	m = leader_find(lease_node->members, entry);
+	return m ? m->echoed_ms : 0;
+}
+
 static void wake_for_relay(void *ctx)
 {
 	struct lease_node *lease_node = ctx;
@@ -518,6 +533,7 @@
 		.seed = options->seed,
 		.answer = lease_node_on_answer,
 		.refresh_workers = refresh_workers,
+		.last_waited_ms = last_waited_ms,
 		.ctx = lease_node,
 	};
 
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -133,6 +133,7 @@
 		.handed = job->handed,
 		.closed_in_ms =
 			job->closed_ms > now_ms ? job->closed_ms - now_ms : 0,
+		.waited_ms = now_ms,
 		.text = job->job->text,
 		.steps = job->job->steps,
 		.step_count = job->job->step_count,
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -363,6 +363,13 @@
 	return m && m->valid_until_ms > now_ms;
 }
 
+/* Returns a time after which a member that counts on us has sent its job. */
+static uint64_t sent_after_ms(struct lease_node *lease_node, uint64_t member)
+{
+	return leader_find(lease_node->members, member)->valid_until_ms -
+	       LEADER_VALID_MS;
+}
+
 static void on_job(struct lease_node *lease_node, uint64_t from,
 		   const Bergamot__QueueJob *msg, uint64_t now_ms)
 {
@@ -406,6 +413,7 @@
 		lease_node_on_answer(lease_node, &refusal);
 	} else if (lease_node->claim &&
 		   counts_on_us(lease_node, from, now_ms)) {
+		submission.waited_ms = sent_after_ms(lease_node, from);
 		lease_submit(lease_node->dispatch, &submission, now_ms);
 		lease_node_schedule_run(lease_node);
 	} else {
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -24,7 +24,7 @@
  *
  * A lease covers all runs on a worker. A leader renews it only if it needs each
  * of these runs or has stopped it: another leader may count on the lapse of a
- * lease that it renewed last.
+ * lease that it renewed last. No lease is granted beyond the limit of a run.
  *
  * Not for choosing jobs or workers: see core/lease_dispatch.h.
  */
@@ -302,6 +302,12 @@
 	/* Called for a worker that has gone, before its runs are closed. */
 	void (*worker_gone)(void *ctx, struct pool_worker *worker,
 			    enum pool_crash crash, uint64_t now_ms);
+	/*
+	 * Returns the time by which the lease of a run must have lapsed, as far
+	 * as is known now. NULL: there is none.
+	 */
+	uint64_t (*find_run_limit)(void *ctx, const struct pool_run *run,
+				   uint64_t now_ms);
 	void *ctx;
 };
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -52,23 +52,67 @@
 	       elapsed_ms * (100 - CLOCK_DRIFT_PERCENT) / 100;
 }
 
-uint64_t pool_lapse_ms(const struct lease_pool *pool, uint64_t now_ms)
+static uint64_t lapsed_ms(uint64_t lease_ms, uint64_t now_ms)
 {
-	return now_ms +
-	       (uint64_t)pool->options.lease_ms * 100 /
-		       (100 - CLOCK_DRIFT_PERCENT) +
+	return now_ms + lease_ms * 100 / (100 - CLOCK_DRIFT_PERCENT) +
 	       POOL_LAPSE_SLACK_MS;
 }
 
-uint64_t pool_held_until_ms(const struct lease_pool *pool,
-			    const struct pool_worker *worker, uint64_t now_ms)
+uint64_t pool_lapse_ms(const struct lease_pool *pool, uint64_t now_ms)
+{
+	return lapsed_ms(pool->options.lease_ms, now_ms);
+}
+
+/* Returns the length of a lease that lapses by the limit of each run. */
+static uint64_t find_lease_ms(const struct lease_pool *pool,
+			      const struct pool_worker *worker, uint64_t now_ms)
+{
+	uint64_t lease_ms = pool->options.lease_ms;
+	uint64_t limit_ms, left_ms;
+	const struct pool_run *run;
+
+#ifdef BREAK_RUN_LIMIT
+	return lease_ms;
+#endif
+	if (!pool->options.find_run_limit)
+		return lease_ms;
+	LIST_FOREACH(run, &worker->runs, in_worker) {
+		if (run->stopped_ms)
+			continue;
+		limit_ms = pool->options.find_run_limit(pool->options.ctx, run,
+							now_ms);
+		left_ms = limit_ms > now_ms + POOL_LAPSE_SLACK_MS
+				  ? limit_ms - now_ms - POOL_LAPSE_SLACK_MS
+				  : 0;
+		if (left_ms < lease_ms * 100 / (100 - CLOCK_DRIFT_PERCENT))
+			lease_ms = left_ms * (100 - CLOCK_DRIFT_PERCENT) / 100;
+	}
+	return lease_ms;
+}
+
+struct pool_grant pool_grant_lease(const struct lease_pool *pool,
+				   const struct pool_worker *worker,
+				   uint64_t now_ms)
 {
 	uint64_t ahead_ms =
 		(now_ms - worker->clock_at_ms) * CLOCK_DRIFT_PERCENT / 100 +
 		POOL_LAPSE_SLACK_MS;
-	uint64_t lease_ms = pool->options.lease_ms;
+	uint64_t lease_ms = find_lease_ms(pool, worker, now_ms);
+	struct pool_grant grant = {
+		.deadline_ms = pool_worker_clock(worker, now_ms) + lease_ms,
+		.lapsed_ms = lapsed_ms(lease_ms, now_ms),
+		.held_until_ms = now_ms,
+	};
 
-	return lease_ms > ahead_ms ? now_ms + lease_ms - ahead_ms : now_ms;
+	if (lease_ms > ahead_ms)
+		grant.held_until_ms += lease_ms - ahead_ms;
+	return grant;
+}
+
+void pool_note_grant(struct pool_worker *worker, const struct pool_grant *grant)
+{
+	if (grant->lapsed_ms > worker->lease_until_ms)
+		worker->lease_until_ms = grant->lapsed_ms;
 }
 
 /*
@@ -109,17 +153,18 @@
 		.wait_ms = wait_ms,
 		.timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
 	};
+	struct pool_grant grant;
 
 	worker->hold_lease_ms = worker->hold_held_ms = 0;
 	worker->hold_renews =
 		worker->clock_ms && worker->run_count && pool_may_renew(worker);
 	if (worker->hold_renews) {
-		call.deadline_ms = pool_worker_clock(worker, now_ms) +
-				   pool->options.lease_ms;
+		grant = pool_grant_lease(pool, worker, now_ms);
+		call.deadline_ms = grant.deadline_ms;
 		worker->former_lease_ms = worker->lease_until_ms;
-		worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
+		pool_note_grant(worker, &grant);
 		worker->hold_lease_ms = worker->lease_until_ms;
-		worker->hold_held_ms = pool_held_until_ms(pool, worker, now_ms);
+		worker->hold_held_ms = grant.held_until_ms;
 	}
 	if (call.ends_read > worker->ends_acked)
 		worker->ends_acked = call.ends_read;
@@ -149,11 +194,15 @@
 	return takes_ms > ran_ms ? takes_ms - ran_ms : ran_ms / OVERDUE_DIVISOR;
 }
 
-static uint32_t next_wait_ms(const struct pool_worker *worker, uint64_t now_ms)
+static uint32_t next_wait_ms(const struct lease_pool *pool,
+			     const struct pool_worker *worker, uint64_t now_ms)
 {
-	uint64_t wait_ms = MAX_WAIT_MS;
+	/* Time for a second hold before the lease lapses. */
+	uint64_t wait_ms = find_lease_ms(pool, worker, now_ms) / 2;
 	const struct pool_run *run;
 
+	if (wait_ms > MAX_WAIT_MS)
+		wait_ms = MAX_WAIT_MS;
 	LIST_FOREACH(run, &worker->runs, in_worker)
 		if (expected_end_in_ms(run, now_ms) < wait_ms)
 			wait_ms = expected_end_in_ms(run, now_ms);
@@ -188,7 +237,7 @@
 {
 	if (worker->hold_pending && worker->state == POOL_HELD &&
 	    !worker->failures && is_end_overdue(worker, now_ms))
-		pool_send_hold(pool, worker, next_wait_ms(worker, now_ms),
+		pool_send_hold(pool, worker, next_wait_ms(pool, worker, now_ms),
 			       now_ms);
 }
 
@@ -197,7 +246,7 @@
 {
 	if (worker->hold_pending && !worker->hold_renews && worker->run_count &&
 	    !worker->failures && pool_may_renew(worker))
-		pool_send_hold(pool, worker, next_wait_ms(worker, now_ms),
+		pool_send_hold(pool, worker, next_wait_ms(pool, worker, now_ms),
 			       now_ms);
 }
 
@@ -213,7 +262,7 @@
 		return;
 	}
 	if (needs_hold(worker))
-		pool_send_hold(pool, worker, next_wait_ms(worker, now_ms),
+		pool_send_hold(pool, worker, next_wait_ms(pool, worker, now_ms),
 			       now_ms);
 	else if (worker->registered &&
 		 now_ms - worker->answered_ms >= IDLE_PROBE_MS)
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -361,6 +361,7 @@
 			    uint64_t now_ms)
 {
 	struct pool_run *run = pool_add_run(pool, worker, from);
+	struct pool_grant grant = pool_grant_lease(pool, worker, now_ms);
 	struct pool_start_call call = {
 		.token = run->token,
 		.worker = worker->id,
@@ -369,8 +370,7 @@
 		.task = run->name,
 		.number = run->number,
 		.text = text,
-		.deadline_ms = pool_worker_clock(worker, now_ms) +
-			       pool->options.lease_ms,
+		.deadline_ms = grant.deadline_ms,
 		.fence = pool_fence_of(pool, worker),
 		.timeout_ms = START_TIMEOUT_MS,
 	};
@@ -378,9 +378,9 @@
 	run->fence = call.fence;
 	run->state = POOL_STARTING;
 	run->sent_ms = now_ms;
-	run->held_until_ms = pool_held_until_ms(pool, worker, now_ms);
+	run->held_until_ms = grant.held_until_ms;
 	run->started_here = true;
-	worker->lease_until_ms = pool_lapse_ms(pool, now_ms);
+	pool_note_grant(worker, &grant);
 	counter_add(COUNTER_TASKS_STARTED, 1);
 	pool->ports->start(pool->ports->ctx, &call);
 	return run;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -119,9 +119,24 @@
 /* Returns our time by which a lease granted now has lapsed on the worker. */
 uint64_t pool_lapse_ms(const struct lease_pool *pool, uint64_t now_ms);
 
-/* Returns our time until which a lease granted now has not lapsed there. */
-uint64_t pool_held_until_ms(const struct lease_pool *pool,
-			    const struct pool_worker *worker, uint64_t now_ms);
+/* A lease that covers all runs on a worker. */
+struct pool_grant {
+	uint64_t deadline_ms; /* on the worker's clock; 0: no lease */
+	uint64_t lapsed_ms; /* our time by which it has lapsed there */
+	uint64_t held_until_ms; /* our time until which it has not */
+};
+
+/*
+ * Returns the longest lease that may be granted now, which lapses by the limit
+ * of each run on the worker.
+ */
+struct pool_grant pool_grant_lease(const struct lease_pool *pool,
+				   const struct pool_worker *worker,
+				   uint64_t now_ms);
+
+/* Notes that a lease may have been granted, or one that lapses later before. */
+void pool_note_grant(struct pool_worker *worker,
+		     const struct pool_grant *grant);
 
 /* Sends a hold; the worker waits for up to wait_ms for the end of a run. */
 void pool_send_hold(struct lease_pool *pool, struct pool_worker *worker,
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -484,6 +484,50 @@
 }
 END_TEST
 
+/* The entry, which remembers the lost cancel, is frozen. */
+START_TEST(test_two_runs_after_a_cancel_was_lost_and_its_entry_froze)
+{
+	check_one_run("1 2 0 0 0 0 1300:partition(1,1) 1300:hang_up(0,0) "
+		      "1400:freeze(1,3000)");
+}
+END_TEST
+
+/* The entry, which remembers the lost cancel, does not reach the next leader.
+ */
+START_TEST(test_two_runs_after_a_cancel_was_lost_between_two_cuts)
+{
+	check_one_run("1 2 0 0 0 0 1300:partition(4,2) 1400:partition(1,1) "
+		      "1400:hang_up(0,0)");
+}
+END_TEST
+
+/* The leader that read the cancel had just lost its claim, and is cut off. */
+START_TEST(test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader)
+{
+	check_one_run("1 0 1 0 0 1 700:freeze(0,700) 800:hang_up(0,0) "
+		      "1500:partition(1,2)");
+}
+END_TEST
+
+/* No instance sees that the entry's link is lost: it is silent, then ends. */
+START_TEST(test_two_runs_after_a_silent_entry_was_lost)
+{
+	check_one_run("1 2 0 0 0 0 300:partition(2,0) 310:kill(1,0) "
+		      "900:partition(1,1)");
+}
+END_TEST
+
+/*
+ * The other side's leader, not heard for longer than CLOSED_MS, goes on; then
+ * it loses the entry, too.
+ */
+START_TEST(test_two_runs_after_the_entry_was_lost_long_after_a_cut)
+{
+	check_one_run("1 2 0 0 0 0 300:partition(4,2) 4000:cut_link(1,0) "
+		      "4050:kill(1,0)");
+}
+END_TEST
+
 START_TEST(test_two_runs_in_a_given_order)
 {
 	check_one_run(getenv("BERGAMOT_PLAY"));
@@ -562,6 +606,16 @@
 		test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned);
 	tcase_add_test(
 		tc, test_two_runs_after_a_leader_was_late_to_read_a_new_link);
+	tcase_add_test(
+		tc, test_two_runs_after_a_cancel_was_lost_and_its_entry_froze);
+	tcase_add_test(tc,
+		       test_two_runs_after_a_cancel_was_lost_between_two_cuts);
+	tcase_add_test(
+		tc,
+		test_two_runs_after_a_cancel_was_lost_in_a_change_of_the_leader);
+	tcase_add_test(tc, test_two_runs_after_a_silent_entry_was_lost);
+	tcase_add_test(tc,
+		       test_two_runs_after_the_entry_was_lost_long_after_a_cut);
 	tcase_add_test(tc, test_two_runs_in_any_order);
 	if (!getenv("BERGAMOT_DEPTH"))
 		tcase_add_test(tc, test_two_runs_in_any_order_of_two);
