core: new jobs do not wait after the loss of an entry

Evidence: its mutant BREAK_EXPECT_RESENT is no longer caught on (27 checks of test_lease_orders hold), so the mechanism and its switch go together; the orders that it was made for stay in test_lease_orders and hold. Core's tests: 45 of 45.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -433,9 +433,6 @@
 
 	if (before_ms > over_ms)
 		over_ms = before_ms;
-	if (!from->handed && now_ms >= dispatch->resent_from_ms &&
-	    dispatch->resent_until_ms > over_ms)
-		over_ms = dispatch->resent_until_ms;
 	return over_ms;
 }
 
@@ -761,16 +758,6 @@
 		 id, over_ms - now_ms);
 }
 
-void lease_expect_resent(struct lease_dispatch *dispatch, uint64_t from_ms,
-			 uint64_t until_ms)
-{
-#ifdef BREAK_EXPECT_RESENT
-	return;
-#endif
-	dispatch->resent_from_ms = from_ms;
-	dispatch->resent_until_ms = until_ms;
-}
-
 /* Rounds of starts */
 
 static bool is_step_ready(const struct lease_job *job, uint32_t s)
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -180,14 +180,6 @@
 void lease_note_open_runs(struct lease_dispatch *dispatch, const char *id,
 			  uint64_t over_ms, uint64_t now_ms);
 
-/*
- * From from_ms on a new job may be one that its caller has sent again because
- * an entry instance was lost, and that another leader, from which no beats
- * arrive, serves until until_ms.
- */
-void lease_expect_resent(struct lease_dispatch *dispatch, uint64_t from_ms,
-			 uint64_t until_ms);
-
 /* Starts no task before until_ms; called after the process was paused. */
 void lease_defer_starts(struct lease_dispatch *dispatch, uint64_t until_ms);
 
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -108,9 +108,6 @@
 	uint32_t running_tasks;
 	uint64_t no_start_until_ms;
 	enum pool_gap gap; /* that was logged last */
-	/* Between these times a new job may have been sent again. */
-	uint64_t resent_from_ms;
-	uint64_t resent_until_ms;
 	struct lease_job **sorted; /* result of lease_sort_jobs */
 	/* A round of starts would find no more room, as far as is known. */
 	bool is_full;
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -21,8 +21,6 @@
 #define STANDBY_HYSTERESIS 2
 /* Beats of most other instances have arrived this long after the start. */
 #define STANDBY_WAIT_MS 100
-/* Losses of entries within this time count from the first of them. */
-#define LOST_ENTRY_MS 3000
 /*
  * A leader's next beat arrives within this time: its idle loop's period and the
  * network delay.
@@ -99,7 +97,6 @@
 	if (leader == lease_node->leader)
 		return;
 	lease_node->leader = leader;
-	lease_node_expect_resent(lease_node, now_ms);
 	lease_node_reassign(lease_node, now_ms);
 }
 
@@ -369,27 +366,10 @@
 	lease_node_reassign(lease_node, now_ms);
 }
 
-/* Callers of an instance that has ended send their jobs to others. */
-static void note_lost_entry(struct lease_node *lease_node, uint64_t incarnation,
-			    uint64_t now_ms)
-{
-	const struct leader_member *m =
-		leader_find(lease_node->members, incarnation);
-
-	/* A leader's own callers come after its leases have lapsed. */
-	if (!m || m->claim)
-		return;
-	if (!lease_node->entry_lost_ms ||
-	    now_ms - lease_node->entry_lost_ms >= LOST_ENTRY_MS)
-		lease_node->entry_lost_ms = now_ms;
-	lease_node_expect_resent(lease_node, now_ms);
-}
-
 void lease_node_peer_down(struct lease_node *lease_node, uint64_t incarnation,
 			  uint64_t now_ms)
 {
 	lease_node_check_pause(lease_node, now_ms);
-	note_lost_entry(lease_node, incarnation, now_ms);
 	leader_link_down(lease_node->members, incarnation, now_ms);
 	relay_member_lost(lease_node->relay, incarnation, now_ms);
 	if (lease_node->claim)
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -23,7 +23,6 @@
 #define ABANDONED_MS (LEADER_VALID_MS + LEASE_ABANDON_MS)
 /* A leader from which no beats arrive, and its runs, since its last beat. */
 #define CLOSED_MS (ABANDONED_MS + RUNS_CLOSED_MS)
-#define RESEND_SLACK_MS 100 /* a loss is noticed later than by the caller */
 /* Past a job's deadline, for the leader's own answer to arrive. */
 #define ANSWER_GRACE_MS 100
 #define RETRY_AFTER_MS 1000 /* another instance leads by then */
@@ -305,24 +304,6 @@
 	}
 }
 
-void lease_node_expect_resent(struct lease_node *lease_node, uint64_t now_ms)
-{
-	uint64_t until_ms = 0;
-	struct leader_member *m;
-
-	if (!lease_node->claim || !lease_node->entry_lost_ms ||
-	    now_ms - lease_node->entry_lost_ms >= CLOSED_MS)
-		return;
-	for (m = leader_members(lease_node->members); m; m = m->hh.next)
-		if (m->claim && m->last_beat_ms + CLOSED_MS > until_ms)
-			until_ms = m->last_beat_ms + CLOSED_MS;
-	if (until_ms > now_ms)
-		lease_expect_resent(lease_node->dispatch,
-				    lease_node->entry_lost_ms +
-					    LEASE_RESEND_MS - RESEND_SLACK_MS,
-				    until_ms);
-}
-
 /*
  * The job stays at its former leader, which may be the next one, too: after a
  * link's reset or a pause of this instance it still has the job's results.
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -71,8 +71,6 @@
 	struct lease_relay *relay;
 	struct lease_node_job *jobs;
 	TAILQ_HEAD(, lease_node_ended) ended;
-	uint64_t
-		entry_lost_ms; /* first recent loss of another entry; 0: none */
 	struct lease_node_address *addresses;
 	bool members_read; /* addresses has all registered instances */
 	struct lease_node_backlog *backlogs;
@@ -107,12 +105,6 @@
 void lease_node_take_back_jobs(struct lease_node *lease_node,
 			       uint64_t incarnation, uint64_t now_ms);
 
-/*
- * Sets in the dispatcher, if this instance leads, which new jobs may have been
- * sent again and still be served by a leader whose beats are missing.
- */
-void lease_node_expect_resent(struct lease_node *lease_node, uint64_t now_ms);
-
 /* Ends jobs past their deadline. */
 void lease_node_expire_jobs(struct lease_node *lease_node, uint64_t now_ms);
 
