core/tests: links of which one side closes, and links that go silent

The simulation of orders of faults could only close both sides of a link at once. Two new kinds of faults:

- half_close: one side closes, the other one stays open for a while and sends into nothing (300 ms, and the daemon's limit for unacknowledged data, 1500 ms).
The side that closed dials again, so its messages arrive over the new connection, while the other side goes on using the old one, as adapters/peers.c does.
A reset that reaches one end only is such an event.
- silence: both directions are lost without a reset, while new connections work ("Open channels may go silent for good"); the sides notice one after the other.

With them, messages to an instance to which no link is open are not delivered, as adapters/peers.c drops them, nor are those that were on their way to a side that has closed since. What a cut holds back is lost when its sender's side closes. BERGAMOT_WITH plays only orders with a fault of the kinds that it names.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -31,6 +31,7 @@
 #define STORE_MS 8 /* a call to the store and its answer */
 #define CALLER_DEADLINE_MS 20000
 #define DIAL_PERIOD_MS 500
+#define LINK_SILENCE_MS 1500 /* limit for unacknowledged data on a link */
 #define EVENT_SLOTS 4096 /* above the longest delay in ms */
 #define BEGIN_MS 40000
 #define ELECTION_MS 1500 /* instance 0 leads by then */
@@ -52,6 +53,8 @@
 	[SCENARIO_KILL] = "kill",
 	[SCENARIO_STOP] = "stop",
 	[SCENARIO_RESET_LINK] = "reset_link",
+	[SCENARIO_HALF_CLOSE] = "half_close",
+	[SCENARIO_SILENCE] = "silence",
 	[SCENARIO_RESTART_WORKER] = "restart_worker",
 	[SCENARIO_LOSE_ANSWER] = "lose_answer",
 	[SCENARIO_DELAY_START] = "delay_start",
@@ -140,6 +143,10 @@
 	bool flush_due;
 	bool leads; /* as last traced */
 	uint64_t linked[SCENARIO_NODES]; /* incarnations; 0: no link */
+	/* What this side of a link sends is lost until then; 0: it is not. */
+	uint64_t dead_until_ms[SCENARIO_NODES];
+	uint32_t closed[SCENARIO_NODES]; /* times that this side closed */
+	uint32_t read_closed[SCENARIO_NODES]; /* as the process has read */
 };
 
 enum event_kind {
@@ -164,6 +171,8 @@
 	int node;
 	uint64_t incarnation; /* of that node, when it was sent */
 	uint64_t from; /* incarnation of the sender */
+	int sender; /* of a message, and the receiver's closed when sent */
+	uint32_t closed;
 	uint8_t *data;
 	size_t len;
 	struct call *call;
@@ -333,10 +342,13 @@
 		struct node *to = &play->nodes[i];
 		struct event *event;
 
-		if (to->incarnation != incarnation || !incarnation)
+		if (to->incarnation != incarnation || !incarnation ||
+		    node->linked[i] != incarnation || node->dead_until_ms[i])
 			continue;
 		event = create_event(play, EV_MESSAGE, to);
 		event->from = node->incarnation;
+		event->sender = node->index;
+		event->closed = to->closed[node->index];
 		event->len = bergamot__peer__get_packed_size(msg);
 		event->data = talloc_size(event, event->len);
 		bergamot__peer__pack(msg, event->data);
@@ -759,8 +771,28 @@
 	    (is_frozen(play, a) && is_frozen(play, b)) ||
 	    play->cut[a->index][b->index] || play->cut[b->index][a->index])
 		return;
-	open_link(play, a, b);
-	open_link(play, b, a);
+	/* A side that has not noticed the loss of its link goes on using it. */
+	if (!a->dead_until_ms[b->index])
+		open_link(play, a, b);
+	if (!b->dead_until_ms[a->index])
+		open_link(play, b, a);
+}
+
+/* What is kept behind a cut is lost when its sender's side closes. */
+static void drop_kept_messages(struct play *play, const struct node *from,
+			       const struct node *to)
+{
+	struct event *e = STAILQ_FIRST(&play->kept);
+	struct event *next;
+
+	for (; e; e = next) {
+		next = STAILQ_NEXT(e, entry);
+		if (e->kind != EV_MESSAGE || e->sender != from->index ||
+		    e->node != to->index)
+			continue;
+		STAILQ_REMOVE(&play->kept, e, event, entry);
+		talloc_free(e);
+	}
 }
 
 static void read_hello(struct play *play, struct node *node, uint64_t from)
@@ -771,15 +803,43 @@
 			link_to(play, node, &play->nodes[i]);
 }
 
+/* The side of instance a closes, and what it has not sent is lost. */
 static void unlink_nodes(struct play *play, struct node *a, struct node *b)
 {
 	struct event *event;
 
+	a->dead_until_ms[b->index] = 0;
 	if (!a->lease_node || !a->linked[b->index])
 		return;
 	event = schedule_event(play, EV_LINK_DOWN, a, 0);
 	event->from = a->linked[b->index];
+	event->sender = b->index;
 	a->linked[b->index] = 0;
+	a->closed[b->index]++;
+	drop_kept_messages(play, a, b);
+}
+
+/* An instance that uses a dead link notices; a newer one may be open. */
+static void notice_dead_link(struct play *play, struct node *a, struct node *b)
+{
+	trace(play, "the link of instance %d to instance %d closes", a->index,
+	      b->index);
+	unlink_nodes(play, a, b);
+	if (a->lease_node && b->lease_node &&
+	    b->linked[a->index] == a->incarnation &&
+	    !b->dead_until_ms[a->index]) {
+		a->linked[b->index] = b->incarnation;
+		schedule_event(play, EV_LINK_UP, a, 0)->from = b->incarnation;
+	}
+}
+
+static void notice_dead_links(struct play *play)
+{
+	for (int a = 0; a < SCENARIO_NODES; a++)
+		for (int b = 0; b < SCENARIO_NODES; b++)
+			if (play->nodes[a].dead_until_ms[b] == play->now_ms)
+				notice_dead_link(play, &play->nodes[a],
+						 &play->nodes[b]);
 }
 
 static void list_worker(struct play *play, struct node *node, int i)
@@ -855,6 +915,7 @@
 	node->restart_ms = node->stop_ends_ms = node->frozen_until_ms = 0;
 	node->overloaded_until_ms = 0;
 	node->flush_due = false;
+	memcpy(node->read_closed, node->closed, sizeof(node->closed));
 	node->incarnation = (uint64_t)(node->index + 1) * 1000 + node->lives;
 	options.incarnation = node->incarnation;
 	node->ports = (struct lease_node_ports){
@@ -889,6 +950,7 @@
 	node->leads = false;
 	node->frozen_until_ms = 0;
 	memset(node->linked, 0, sizeof(node->linked));
+	memset(node->dead_until_ms, 0, sizeof(node->dead_until_ms));
 	for (int i = 0; i < SCENARIO_NODES; i++)
 		if (!play->cut[node->index][i])
 			unlink_nodes(play, &play->nodes[i], node);
@@ -1065,6 +1127,30 @@
 	return true;
 }
 
+static bool half_close(struct play *play, struct node *a, struct node *b,
+		       uint32_t open_ms)
+{
+	if (!a->linked[b->index] || !b->linked[a->index] ||
+	    a->dead_until_ms[b->index] || b->dead_until_ms[a->index])
+		return false;
+	unlink_nodes(play, a, b);
+	b->dead_until_ms[a->index] = play->now_ms + open_ms;
+	return true;
+}
+
+static bool silence_link(struct play *play, struct node *a, struct node *b,
+			 uint32_t later_ms)
+{
+	uint64_t until_ms = play->now_ms + LINK_SILENCE_MS;
+
+	if (!a->linked[b->index] || !b->linked[a->index] ||
+	    a->dead_until_ms[b->index] || b->dead_until_ms[a->index])
+		return false;
+	a->dead_until_ms[b->index] = until_ms;
+	b->dead_until_ms[a->index] = until_ms + later_ms;
+	return true;
+}
+
 static bool hang_up(struct play *play)
 {
 	struct event *event;
@@ -1181,6 +1267,8 @@
 {
 	struct node *node = &play->nodes[f->a % SCENARIO_NODES];
 	struct worker *w = &play->workers[f->a % SCENARIO_WORKERS];
+	struct node *first = &play->nodes[f->a / 10 % SCENARIO_NODES];
+	struct node *second = &play->nodes[f->a % 10 % SCENARIO_NODES];
 
 	trace(play, "fault: %s(%u,%u)", kind_texts[f->kind], f->a, f->b);
 	switch (f->kind) {
@@ -1207,6 +1295,10 @@
 		return stop_node(play, node);
 	case SCENARIO_RESET_LINK:
 		return reset_link(play, node, &play->nodes[f->b]);
+	case SCENARIO_HALF_CLOSE:
+		return half_close(play, first, second, f->b);
+	case SCENARIO_SILENCE:
+		return silence_link(play, first, second, f->b);
 	case SCENARIO_RESTART_WORKER:
 		return restart_worker(play, w, f->b);
 	case SCENARIO_LOSE_ANSWER:
@@ -1263,6 +1355,10 @@
 
 	switch (e->kind) {
 	case EV_MESSAGE:
+		/* A killed instance's last messages precede its close. */
+		if (node->read_closed[e->sender] != e->closed &&
+		    play->nodes[e->sender].incarnation == e->from)
+			break;
 		msg = bergamot__peer__unpack(NULL, e->len, e->data);
 		lease_node_peer_message(node->lease_node, e->from, msg,
 					play->now_ms);
@@ -1272,6 +1368,7 @@
 		read_hello(play, node, e->from);
 		break;
 	case EV_LINK_DOWN:
+		node->read_closed[e->sender]++;
 		lease_node_peer_down(node->lease_node, e->from, play->now_ms);
 		break;
 	case EV_ANSWER:
@@ -1352,6 +1449,7 @@
 	}
 	if (play->now_ms % DIAL_PERIOD_MS == 0)
 		dial_unlinked(play);
+	notice_dead_links(play);
 	for (int i = 0; i < SCENARIO_WORKERS; i++)
 		step_worker(play, &play->workers[i]);
 	for (int i = 0; i < SCENARIO_NODES; i++)
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -31,6 +31,18 @@
 	SCENARIO_KILL, /* instance a, which is started again 1 s later */
 	SCENARIO_STOP, /* instance a, as planned */
 	SCENARIO_RESET_LINK, /* between instances a and b */
+	/*
+	 * The tens digit of a is the instance whose side of a link closes, the
+	 * last one that whose side stays open for b ms and sends into nothing:
+	 * a reset that reaches one end of a connection only, as the system on
+	 * the way has forgotten it. A new connection opens beside it.
+	 */
+	SCENARIO_HALF_CLOSE,
+	/*
+	 * The link goes silent without a reset, while new ones work. Its sides
+	 * close at the limit for unacknowledged data, the second b ms later.
+	 */
+	SCENARIO_SILENCE,
 	SCENARIO_RESTART_WORKER, /* worker a, down for b ms */
 	SCENARIO_LOSE_ANSWER, /* the next one of worker a */
 	SCENARIO_DELAY_START, /* the next one to worker a is late by 2 s */
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -6,8 +6,9 @@
  *
  * BERGAMOT_DEPTH is the number of faults. BERGAMOT_STRIDE is the step from one
  * order to the next that is played, BERGAMOT_SEED the number of the first one.
- * BERGAMOT_KINDS lists the kinds of faults that are played, BERGAMOT_JITTER is
- * how far in ms times are moved off the grid.
+ * BERGAMOT_KINDS lists the kinds of faults that are played, BERGAMOT_WITH those
+ * of which an order has at least one. BERGAMOT_JITTER is how far in ms times
+ * are moved off the grid.
  * BERGAMOT_PLAY plays one scenario, as printed, and with BERGAMOT_SHOW prints
  * what happens in it. BERGAMOT_LOG is the path of the instances' log lines,
  * which need CK_FORK=no.
@@ -94,6 +95,14 @@
 			add(list, SCENARIO_CUT_ONE_WAY, b, a);
 			add(list, SCENARIO_RESET_LINK, a, b);
 		}
+		for (uint32_t b = 0; b < SCENARIO_NODES; b++) {
+			if (b == a)
+				continue;
+			add(list, SCENARIO_HALF_CLOSE, 10 * a + b, 300);
+			add(list, SCENARIO_HALF_CLOSE, 10 * a + b, 1500);
+			if (!a || !b)
+				add(list, SCENARIO_SILENCE, 10 * a + b, 500);
+		}
 		for (uint32_t w = 0; w < SCENARIO_WORKERS; w++)
 			add(list, SCENARIO_CUT_WORKER, a, w);
 		/* With none, one or all of the workers on its side. */
@@ -178,6 +187,17 @@
 	return false;
 }
 
+/* Returns true if the order has a fault of a kind in BERGAMOT_WITH. */
+static bool is_wanted(const struct scenario *s)
+{
+	const char *kinds = getenv("BERGAMOT_WITH");
+	bool wanted = !kinds;
+
+	for (size_t i = 0; i < s->fault_count && !wanted; i++)
+		wanted = strstr(kinds, scenario_kind_text(s->faults[i].kind));
+	return wanted;
+}
+
 static bool has_two_runs(const struct scenario *s,
 			 struct scenario_result *result)
 {
@@ -543,7 +563,7 @@
 	memset(&search, 0, sizeof(search));
 	list_faults(&search.list);
 	for (uint64_t i = first; i < count_orders(&search, depth); i += stride)
-		if (decode(&search, i, depth, &s))
+		if (decode(&search, i, depth, &s) && is_wanted(&s))
 			play_order(&search, &s);
 	print_found(&search);
 	ck_assert_uint_eq(search.two_runs + search.resent, 0);
