core: a job of a leader whose link is down waits for that leader's starts (TWICE)

Cause: an entry whose link to its leader is down hands its jobs on at once, and the next leader may skip the time that the entry gives if it holds all workers. The former leader's side of the link may be open, after a reset of one end. It counts on the entry for up to 0.6 s after its last beat, and starts a task that waits for room on a worker that joins then.

Change: the entry passes on until when such a leader may start tasks (no_start_in_ms), and the next leader asks for the list of workers and the look at each of them only after that. The job itself goes on at once, so that its runs are adopted before they would be stopped as unknown. A restarted leader, and one that has resigned, are not waited for. Why it works: the leader stops starting an entry's tasks 0.6 s after the last beat of its own that this entry has echoed, and the entry counts from the last one that it received; a worker that joined by then is on the list.

Evidence: test_two_runs_on_a_worker_that_joins_after_a_side_has_closed, with and without relays, fails before and passes after; BREAK_LOST_FORMER restores the failure.

Members of an older version ignore the field.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -568,13 +568,20 @@
 }
 
 /*
- * An earlier probe proves nothing: a worker that has restarted since may have
- * obeyed the job's former leader again.
+ * Probes all workers now, or at after_ms. An earlier probe proves nothing: a
+ * worker that has restarted since may have obeyed the job's former leader
+ * again, and one that joins meanwhile may obey it.
  */
 static void probe_for(struct lease_dispatch *dispatch, struct lease_job *job,
-		      uint64_t now_ms)
-{
-	job->probe_after_ms = now_ms;
+		      uint64_t after_ms, uint64_t now_ms)
+{
+	if (after_ms < now_ms)
+		after_ms = now_ms;
+	if (after_ms > job->probe_after_ms)
+		job->probe_after_ms = after_ms;
+	job->is_probe_due = job->probe_after_ms > now_ms;
+	if (job->is_probe_due)
+		return;
 #ifdef BREAK_PROBE_AGE
 	job->probe_after_ms = 0;
 #endif
@@ -595,7 +602,7 @@
 		return;
 	if (over_ms > job->earlier_runs_over_ms)
 		job->earlier_runs_over_ms = over_ms;
-	probe_for(dispatch, job, now_ms);
+	probe_for(dispatch, job, now_ms + from->no_start_in_ms, now_ms);
 }
 
 static bool join_job(struct lease_dispatch *dispatch,
@@ -658,7 +665,7 @@
 	if (!from->handed)
 		lease_note_arrival(dispatch, job, now_ms);
 	if (job->earlier_runs_over_ms > now_ms)
-		probe_for(dispatch, job, now_ms);
+		probe_for(dispatch, job, now_ms + from->no_start_in_ms, now_ms);
 	counter_add(COUNTER_JOBS_ADMITTED, 1);
 	log_info(LOG_JOB,
 		 "job %s: admitted from entry %016" PRIx64
@@ -748,7 +755,7 @@
 		if (over_ms <= job->earlier_runs_over_ms)
 			return;
 		job->earlier_runs_over_ms = over_ms;
-		probe_for(dispatch, job, now_ms);
+		probe_for(dispatch, job, now_ms, now_ms);
 		return;
 	}
 	keep_note(dispatch, id, over_ms, now_ms);
@@ -1161,6 +1168,8 @@
 		     uint64_t now_ms)
 {
 	lease_refresh_key(job, now_ms);
+	if (job->is_probe_due && job->probe_after_ms <= now_ms)
+		probe_for(dispatch, job, now_ms, now_ms);
 	if (job->abandon_at_ms && job->abandon_at_ms <= now_ms)
 		lease_finish(dispatch, job, LEASE_GIVEN_UP, LEASE_NO_REASON,
 			     now_ms);
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -69,6 +69,7 @@
 	uint32_t handed; /* number of earlier leaders that had the job */
 	uint64_t closed_in_ms; /* until none of their runs can be open */
 	uint64_t waited_ms; /* its caller has waited for it then or later */
+	uint64_t no_start_in_ms; /* until none of them starts a task of it */
 	const char *text;
 	const struct job_step *steps;
 	uint32_t step_count;
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -55,10 +55,11 @@
 	/*
 	 * Tasks wait for earlier_runs_over_ms, by when earlier leaders' runs
 	 * have ended, or until all workers have answered a probe that was sent
-	 * after the job was received.
+	 * after the job was received, and once these start no task of it.
 	 */
 	uint64_t earlier_runs_over_ms;
 	uint64_t probe_after_ms;
+	bool is_probe_due; /* at probe_after_ms */
 	uint64_t abandon_at_ms; /* time to stop it; 0: it has a waiter */
 	/* Its caller has waited then or later, as lost entries showed. */
 	uint64_t waited_ms;
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -133,6 +133,9 @@
 		.closed_in_ms =
 			job->closed_ms > now_ms ? job->closed_ms - now_ms : 0,
 		.waited_ms = now_ms,
+		.no_start_in_ms = job->no_start_ms > now_ms
+					  ? job->no_start_ms - now_ms
+					  : 0,
 		.text = job->job->text,
 		.steps = job->job->steps,
 		.step_count = job->job->step_count,
@@ -193,6 +196,25 @@
 	       !has_received(lease_node, former, left_ms);
 }
 
+/*
+ * Notes until when a former leader may start tasks of a job although its link
+ * is down: its own side may still be open, and it then counts on this
+ * instance's beats.
+ */
+static void note_lost_former(struct lease_node *lease_node,
+			     struct lease_node_job *job)
+{
+	const struct leader_member *m =
+		leader_find(lease_node->members, job->former);
+
+#ifdef BREAK_LOST_FORMER
+	return;
+#endif
+	if (m && !m->linked && m->claim &&
+	    m->last_beat_ms + LEADER_VALID_MS > job->no_start_ms)
+		job->no_start_ms = m->last_beat_ms + LEADER_VALID_MS;
+}
+
 /*
  * Cancels a job at its former leader, unless that is to have it again. One that
  * still leads receives our beats, and would go on serving the job. Returns
@@ -210,6 +232,7 @@
 		if (may_still_start(lease_node, job->former, job->left_ms,
 				    now_ms))
 			return false;
+		note_lost_former(lease_node, job);
 	}
 	job->former = job->left_ms = 0;
 	return true;
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -289,6 +289,8 @@
 	msg.handed = job->handed;
 	if (job->closed_ms > now_ms)
 		msg.closed_in_ms = (uint32_t)(job->closed_ms - now_ms);
+	if (job->no_start_ms > now_ms)
+		msg.no_start_in_ms = (uint32_t)(job->no_start_ms - now_ms);
 	msg.spec.data = (uint8_t *)job->job->text;
 	msg.spec.len = strlen(job->job->text);
 	msg.n_steps = job->job->step_count;
@@ -388,6 +390,7 @@
 		.age_ms = msg->age_ms,
 		.handed = msg->handed,
 		.closed_in_ms = msg->closed_in_ms,
+		.no_start_in_ms = msg->no_start_in_ms,
 		.text = talloc_strndup(mem, (const char *)msg->spec.data,
 				       msg->spec.len),
 		.steps = steps,
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -32,6 +32,7 @@
 	uint64_t left_ms; /* when it was cancelled at former; 0: not yet */
 	uint32_t handed; /* number of earlier leaders that may have had it */
 	uint64_t closed_ms; /* by when these are certain to have given it up */
+	uint64_t no_start_ms; /* by when none of them starts a task of it */
 };
 
 /*
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -496,6 +496,20 @@
 }
 END_TEST
 
+/*
+ * The entry's side of the link to its leader closes, and it leads itself. The
+ * former leader, whose side is open, has the job wait for room, and counts on
+ * the entry while a worker joins.
+ */
+START_TEST(test_two_runs_on_a_worker_that_joins_after_a_side_has_closed)
+{
+	check_one_run("1 1 0 0 0 0 0:cut_worker(0,1) "
+		      "3510:half_close(10,1500) 3660:join(0,0)");
+	check_one_run("1 1 1 0 0 0 0:cut_worker(0,1) "
+		      "3510:half_close(10,1500) 3660:join(0,0)");
+}
+END_TEST
+
 /* The leader, paused for a moment, reads the new link later than its entry. */
 START_TEST(test_two_runs_after_a_leader_was_late_to_read_a_new_link)
 {
@@ -624,6 +638,9 @@
 	tcase_add_test(
 		tc,
 		test_two_runs_on_a_worker_that_joins_after_the_entry_has_turned);
+	tcase_add_test(
+		tc,
+		test_two_runs_on_a_worker_that_joins_after_a_side_has_closed);
 	tcase_add_test(
 		tc, test_two_runs_after_a_leader_was_late_to_read_a_new_link);
 	tcase_add_test(
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3475,7 +3475,7 @@
   (ProtobufCMessageInit) bergamot__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[14] =
 {
   {
     "request",
@@ -3633,6 +3633,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "no_start_in_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJob, no_start_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__queue_job__field_indices_by_name[] = {
   8,   /* field[8] = age_ms */
@@ -3640,6 +3652,7 @@
   10,   /* field[10] = closed_in_ms */
   9,   /* field[9] = handed */
   1,   /* field[1] = id */
+  13,   /* field[13] = no_start_in_ms */
   6,   /* field[6] = objective_ms */
   4,   /* field[4] = priority */
   2,   /* field[2] = queue */
@@ -3652,7 +3665,7 @@
 static const ProtobufCIntRange bergamot__queue_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bergamot__queue_job__descriptor =
 {
@@ -3662,7 +3675,7 @@
   "Bergamot__QueueJob",
   "bergamot",
   sizeof(Bergamot__QueueJob),
-  13,
+  14,
   bergamot__queue_job__field_descriptors,
   bergamot__queue_job__field_indices_by_name,
   1,  bergamot__queue_job__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -509,10 +509,15 @@
   ProtobufCBinaryData spec;
   size_t n_steps;
   Bergamot__JobStep **steps;
+  /*
+   * Time until none of these leaders starts a task of it. Until then one may
+   * on a worker that joins, unless it has received the cancel.
+   */
+  uint32_t no_start_in_ms;
 };
 #define BERGAMOT__QUEUE_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__queue_job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0 }
 
 
 struct  Bergamot__QueueJobEnd
