--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -150,8 +150,8 @@
  * Returns true if the process is known to have ended while its runs were under
  * way: a call shows that, or a restart does, before the lease lapsed. Behind a
  * cut, runs may have ended before the process did, so no answer to a hold may
- * be missing: it may have listed their ends. A process whose list of workers is
- * not followed does not know of planned leaves.
+ * be missing: it may have listed their ends. Without the list of workers, a
+ * planned leave looks the same.
  */
 static bool is_seen_going(const struct lease_pool *pool,
 			  const struct pool_worker *worker, uint64_t now_ms)
