core/tests: two checks that no longer rest on an order of faults

The orders stay. Each mechanism is now checked by itself: test_jobs_are_sent_after_a_beat_over_the_new_link in test_lease_node_entry, test_two_runs_while_a_found_run_is_being_stopped in test_lease_dispatch; both fail with the switch set.

--- a/packages/core/tests/test_lease_dispatch.c
+++ b/packages/core/tests/test_lease_dispatch.c
@@ -254,6 +254,36 @@
 }
 END_TEST
 
+/* Another leader's run of the task is found beside ours, which ends first. */
+START_TEST(test_two_runs_while_a_found_run_is_being_stopped)
+{
+	struct lease_submission job = fake_orders_submission(ID, 1);
+	struct pool_listed_run row = { TASK, 17, 10 };
+	struct pool_listed_end ours = { 1, TASK, 1, POOL_STOPPED };
+	struct pool_listed_end other = { 1, TASK, 17, POOL_STOPPED };
+
+	fake_orders_add_worker(fake, "w1", 4000);
+	fake_orders_lead(fake, 5);
+	fake_orders_submit(fake, &job);
+	fake_orders_answer_start(fake, &fake->starts[0], POOL_OK);
+	fake_orders_add_worker(fake, "w2", 4000);
+	fake_orders_add_worker(fake, "w3", 4000);
+	fake_orders_advance(fake, 10);
+	fake_orders_answer_hold(fake, "w3", NULL, 0, NULL, 0);
+	fake_orders_answer_hold(fake, "w2", &row, 1, NULL, 0);
+	ck_assert_ptr_nonnull(fake_orders_stopped(fake, TASK));
+	fake_orders_answer_hold(fake, "w1", NULL, 0, &ours, 1);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 1);
+	fake_orders_answer_stop(fake, fake_orders_stopped(fake, TASK), POOL_OK);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 1);
+	fake_orders_answer_hold(fake, "w2", NULL, 0, &other, 1);
+	fake_orders_advance(fake, 20);
+	ck_assert_uint_eq(fake->start_count, 2);
+}
+END_TEST
+
 /*
  * An entry instance that returns after its job was given up learns that; only
  * a caller that sends the job again has it run again.
@@ -1266,6 +1296,7 @@
 		test_adopted_run_keeps_its_lease,
 		test_two_runs_of_a_job_that_returns_from_another_leader,
 		test_job_that_returns_after_a_reset_link_goes_on,
+		test_two_runs_while_a_found_run_is_being_stopped,
 		test_runs_on_a_foreign_worker_stay_open_when_the_claim_is_raised,
 		test_listed_run_is_not_closed_when_held_again,
 		test_probe_acknowledges_nothing, test_silence_is_no_hung_task,
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -202,6 +202,28 @@
 }
 END_TEST
 
+/*
+ * The leader counts from when it reads a new link, which may be later than this
+ * instance does; a beat over the link shows that it has. No job is sent before
+ * that, as the leader might keep it for longer than the next one is told.
+ */
+START_TEST(test_jobs_are_sent_after_a_beat_over_the_new_link)
+{
+	link_member(LEADER, "leader");
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	lease_node_peer_down(node, LEADER, now_ms);
+	link_member(LEADER, "leader");
+	advance(TICK_MS);
+	submit(1, LONG_MS);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 0);
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 1);
+}
+END_TEST
+
 /*
  * A leader's answer that a cut has delayed arrives when the next leader has the
  * job: that one must not go on with it.
@@ -294,6 +316,7 @@
 			test_job_of_a_lost_leader_waits,
 			test_jobs_are_not_sent_to_a_quiet_leader,
 			test_jobs_are_sent_when_beats_come_again,
+			test_jobs_are_sent_after_a_beat_over_the_new_link,
 			test_next_leader_keeps_a_job_that_the_former_one_ended,
 			test_leader_is_told_of_an_end_once_for_each_link,
 			test_next_leader_is_told_of_a_job_that_ended_long_ago);
