--- a/packages/core/tests/test_lease_restart.c
+++ b/packages/core/tests/test_lease_restart.c
@@ -2,9 +2,13 @@
  * As test_lease_long, with workers whose clocks start anew when they restart:
  * an order that was delayed for seconds has not expired there.
  *
- * Plays the seeds that failed.
+ * Plays the seeds and orders of faults that failed. BERGAMOT_SHOW prints what
+ * happens in an order.
  */
+#include <stdlib.h>
+
 #include "base/tests/run_suite.h"
+#include "fake_scenario.h"
 #include "fake_site.h"
 
 static const struct {
@@ -13,7 +17,8 @@
 	bool more_resends;
 } failed[] = {
 	{ 182, 0, false }, { 545, 0, false }, { 175, 0, true },
-	{ 358, 1, true },  { 523, 1, true },
+	{ 358, 1, true },  { 523, 1, true },  { 205, 0, false },
+	{ 266, 1, true },  { 406, 1, false }, { 650, 1, false },
 };
 
 START_TEST(test_two_runs_after_a_delayed_order)
@@ -39,6 +44,27 @@
 }
 END_TEST
 
+/* By one leader; and under a later leader, which does not know of the start. */
+static const char *const orders[] = {
+	"0 0 0 0 0 0 701:silence(1,500) 1461:delay_start(0,0) "
+	"2803:restart_worker(0,500)",
+	"0 0 0 0 0 0 19:delay_start(0,0) 359:kill(0,0) "
+	"1795:restart_worker(0,0)",
+};
+
+START_TEST(test_two_runs_after_a_delayed_start_and_a_restart)
+{
+	struct scenario scenario;
+	struct scenario_result result;
+
+	ck_assert(scenario_read(&scenario, orders[_i]));
+	scenario.trace = getenv("BERGAMOT_SHOW") != NULL;
+	scenario_play(&scenario, &result);
+	ck_assert(!result.without_effect);
+	ck_assert_msg(!result.two_runs, "%s: %s", orders[_i], result.text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("lease_restart");
@@ -47,6 +73,9 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, test_two_runs_after_a_delayed_order, 0,
 			    (int)(sizeof(failed) / sizeof(failed[0])));
+	tcase_add_loop_test(tc,
+			    test_two_runs_after_a_delayed_start_and_a_restart,
+			    0, (int)(sizeof(orders) / sizeof(orders[0])));
 	suite_add_tcase(suite, tc);
 	return run_suite(suite);
 }
