--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -61,7 +61,7 @@
 #define CUT_OFF_MS 4000
 #define MAX_CRASHES 16 /* that are kept of a task */
 #define CRASH_CHECK_MS 50 /* between two checks of leaders' records */
-/* A worker restarts so long before the end of a cut. */
+/* Time from a restart behind a cut to the end of the cut. */
 #define REBORN_BEFORE_MS 100
 
 struct run {
--- a/packages/core/tests/test_lease_crash_charge.c
+++ b/packages/core/tests/test_lease_crash_charge.c
@@ -315,7 +315,7 @@
 }
 END_TEST
 
-/* Orders of events in which it cannot be told when the run ended. */
+/* Orders of events that leave open whether the run had ended before. */
 
 /* The last start of the task is acknowledged; fills in its worker. */
 static void run_on(char worker[32])
