core/tests: orders whose lease counts from their arrival (known red)

The platform's kinds of trouble have orders without an answer that are carried out 2 to 12 s later, also with their time counted from their arrival. The simulated scenarios kept a late order's deadline, which has passed by then, so that it granted nothing.

delay_start, delay_hold and delay_stop take the delay now: 0 is what it was before, another one counts the lease from the arrival.

--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -32,7 +32,7 @@
 #define CALLER_DEADLINE_MS 20000
 #define DIAL_PERIOD_MS 500
 #define LINK_SILENCE_MS 1500 /* limit for unacknowledged data on a link */
-#define EVENT_SLOTS 4096 /* above the longest delay in ms */
+#define EVENT_SLOTS 16384 /* above the longest delay in ms */
 #define BEGIN_MS 40000
 #define ELECTION_MS 1500 /* instance 0 leads by then */
 #define CUT_MS 4500 /* after the last fault, until all cuts are healed */
@@ -123,7 +123,10 @@
 	TAILQ_HEAD(, call) holds;
 	char task[STEP_JOB_TASK_BYTES];
 	bool loses_answer;
-	bool delays[CALL_KINDS];
+	struct {
+		bool is_set;
+		uint32_t grants_ms; /* 0: late by 2 s, and has expired */
+	} delays[CALL_KINDS];
 	bool connected[SCENARIO_NODES]; /* to its present process */
 };
 
@@ -445,6 +448,22 @@
 	send_event(play, order, is_cut, delay_ms);
 }
 
+/* Returns by how much the call is late. */
+static uint64_t delay_order(struct play *play, struct worker *w,
+			    struct call *call)
+{
+	uint32_t grants_ms = w->delays[call->kind].grants_ms;
+
+	w->delays[call->kind].is_set = false;
+	call->unanswered = true;
+	trace(play, "the order to %s is late", w->id);
+	if (!grants_ms)
+		return ORDER_DELAY_MS;
+	if (call->deadline_ms)
+		call->deadline_ms += grants_ms;
+	return grants_ms;
+}
+
 static void send_call(struct node *node, struct call *call, uint32_t timeout_ms)
 {
 	struct play *play = node->play;
@@ -453,12 +472,8 @@
 	struct event *order = create_event(play, EV_ORDER, NULL);
 	uint64_t delay_ms = NETWORK_MS;
 
-	if (w->delays[call->kind] && !is_cut) {
-		w->delays[call->kind] = false;
-		call->unanswered = true;
-		delay_ms = ORDER_DELAY_MS;
-		trace(play, "the order to %s is late", w->id);
-	}
+	if (w->delays[call->kind].is_set && !is_cut)
+		delay_ms = delay_order(play, w, call);
 	order->call = call;
 	/* Only an open connection keeps it: a new one is given up. */
 	if (is_cut && !w->connected[node->index])
@@ -1258,9 +1273,11 @@
 	return true;
 }
 
-static bool delay_call(struct play *play, uint32_t worker, enum call_kind kind)
+static bool delay_call(struct play *play, const struct scenario_fault *f,
+		       enum call_kind kind)
 {
-	return set_cut(&play->workers[worker].delays[kind]);
+	play->workers[f->a].delays[kind].grants_ms = f->b;
+	return set_cut(&play->workers[f->a].delays[kind].is_set);
 }
 
 static bool apply_fault(struct play *play, const struct scenario_fault *f)
@@ -1304,11 +1321,11 @@
 	case SCENARIO_LOSE_ANSWER:
 		return set_cut(&w->loses_answer);
 	case SCENARIO_DELAY_START:
-		return delay_call(play, f->a, CALL_START);
+		return delay_call(play, f, CALL_START);
 	case SCENARIO_DELAY_HOLD:
-		return delay_call(play, f->a, CALL_HOLD);
+		return delay_call(play, f, CALL_HOLD);
 	case SCENARIO_DELAY_STOP:
-		return delay_call(play, f->a, CALL_STOP);
+		return delay_call(play, f, CALL_STOP);
 	case SCENARIO_DRAIN:
 		return drain_worker(play, w);
 	case SCENARIO_UNREGISTER:
@@ -1497,14 +1514,30 @@
 	return is_idle;
 }
 
+/* Returns how late the latest order is. */
+static uint32_t longest_delay_ms(const struct scenario *s)
+{
+	uint32_t longest_ms = 0;
+
+	for (size_t i = 0; i < s->fault_count; i++) {
+		const struct scenario_fault *f = &s->faults[i];
+
+		if (f->kind >= SCENARIO_DELAY_START &&
+		    f->kind <= SCENARIO_DELAY_STOP && f->b > longest_ms)
+			longest_ms = f->b;
+	}
+	return longest_ms;
+}
+
 static void play_faults(struct play *play)
 {
 	const struct scenario *s = play->scenario;
 	uint64_t last_ms =
 		s->fault_count ? s->faults[s->fault_count - 1].at_ms : 0;
+	uint64_t end_ms = last_ms + CUT_MS + SETTLE_MS + longest_delay_ms(s);
 	size_t next = 0;
 
-	for (uint64_t t = 0; t <= last_ms + CUT_MS + SETTLE_MS; t++) {
+	for (uint64_t t = 0; t <= end_ms; t++) {
 		for (; next < s->fault_count && s->faults[next].at_ms <= t;
 		     next++)
 			if (!apply_fault(play, &s->faults[next])) {
@@ -1530,7 +1563,7 @@
 	for (int i = 0; i < SCENARIO_WORKERS; i++) {
 		unused |= play->workers[i].loses_answer;
 		for (int kind = 0; kind < CALL_KINDS; kind++)
-			unused |= play->workers[i].delays[kind];
+			unused |= play->workers[i].delays[kind].is_set;
 	}
 	return unused;
 }
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -45,7 +45,11 @@
 	SCENARIO_SILENCE,
 	SCENARIO_RESTART_WORKER, /* worker a, down for b ms */
 	SCENARIO_LOSE_ANSWER, /* the next one of worker a */
-	SCENARIO_DELAY_START, /* the next one to worker a is late by 2 s */
+	/*
+	 * The next one to worker a is late by 2 s, and its deadline has passed;
+	 * or by b ms, and its lease counts from its arrival.
+	 */
+	SCENARIO_DELAY_START,
 	SCENARIO_DELAY_HOLD,
 	SCENARIO_DELAY_STOP,
 	SCENARIO_DRAIN, /* worker a, as it registers itself */
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -30,7 +30,8 @@
 #define PAIR_STRIDE 499
 #endif
 #define MAX_FOUND 200
-#define MAX_FAULTS 100 /* different ones */
+#define COUNT(list) (sizeof(list) / sizeof((list)[0]))
+#define MAX_FAULTS 120 /* different ones */
 
 /* Times after the fault before; the first one counts from the job on. */
 static const uint32_t gaps_ms[] = { 0, 100, 300, 700, 1300, 5, 2100 };
@@ -78,6 +79,7 @@
 static void list_faults(struct fault_list *list)
 {
 	static const uint32_t freezes_ms[] = { 300, 700, 1500, 3000 };
+	static const uint32_t grants_ms[] = { 3000, 7000, 12000 };
 
 	for (uint32_t a = 0; a < SCENARIO_NODES; a++) {
 		add(list, SCENARIO_KILL, a, 0);
@@ -120,6 +122,11 @@
 		add(list, SCENARIO_DELAY_HOLD, w, 0);
 		add(list, SCENARIO_DELAY_STOP, w, 0);
 	}
+	for (uint32_t w = 0; w < SCENARIO_WORKERS; w++)
+		for (size_t i = 0; i < COUNT(grants_ms); i++) {
+			add(list, SCENARIO_DELAY_START, w, grants_ms[i]);
+			add(list, SCENARIO_DELAY_HOLD, w, grants_ms[i]);
+		}
 	add(list, SCENARIO_HEAL, 0, 0);
 	add(list, SCENARIO_HEAL_WORKERS, 0, 0);
 	add(list, SCENARIO_HANG_UP, 0, 0);
--- a/packages/core/tests/test_lease_restart.c
+++ b/packages/core/tests/test_lease_restart.c
@@ -50,6 +50,10 @@
 	"2803:restart_worker(0,500)",
 	"0 0 0 0 0 0 19:delay_start(0,0) 359:kill(0,0) "
 	"1795:restart_worker(0,0)",
+	"0 0 1 0 0 0 775:delay_start(1,0) 1516:partition(1,3) "
+	"2258:restart_worker(1,500)",
+	"0 0 1 0 0 0 334:partition(2,0) 1075:delay_start(1,0) "
+	"1817:restart_worker(1,500)",
 };
 
 START_TEST(test_two_runs_after_a_delayed_start_and_a_restart)
