--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -273,6 +273,40 @@
 			     LEASE_NO_REASON, now_ms);
 }
 
+/*
+ * Gives a job up if one of its starts may be carried out late for longer than
+ * its caller waits. Returns false if it has not.
+ */
+static bool give_up_late(struct lease_job *job, const struct task *task,
+			 uint64_t now_ms)
+{
+	struct lease_dispatch *dispatch = job->dispatch;
+	char name[STEP_JOB_TASK_BYTES];
+	uint64_t until_ms;
+
+	lease_name_task(name, task);
+	until_ms = pool_late_until_ms(dispatch->pool, name);
+	if (task->state != TASK_WAITING || until_ms <= job->deadline_ms)
+		return false;
+	log_info(LOG_JOB,
+		 "job %s: a start of task %s has no answer and may be carried "
+		 "out until %" PRIu64 " ms after the caller's deadline",
+		 job->id, name, until_ms - job->deadline_ms);
+	lease_finish(dispatch, job, LEASE_GIVEN_UP, LEASE_DEADLINE, now_ms);
+	return true;
+}
+
+static bool give_up_late_job(struct lease_job *job, uint64_t now_ms)
+{
+	if (!pool_has_unneeded_runs(job->dispatch->pool))
+		return false;
+	for (uint32_t s = 0; s < job->step_count; s++)
+		for (uint32_t i = 0; i < job->steps[s].count; i++)
+			if (give_up_late(job, &job->states[s].tasks[i], now_ms))
+				return true;
+	return false;
+}
+
 static void on_run_closed(void *ctx, struct pool_run *run, enum pool_end how,
 			  uint64_t now_ms)
 {
@@ -305,6 +339,8 @@
 	if (how == POOL_FAILED && ++task->failures >= job->attempts)
 		lease_finish(dispatch, job, LEASE_FAILED, LEASE_ATTEMPTS,
 			     now_ms);
+	else
+		give_up_late(job, task, now_ms);
 }
 
 /* Submission */
@@ -675,7 +711,8 @@
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
 	job = find_job(dispatch, id);
-	if (job && !lease_judge_job(dispatch, job, now_ms))
+	if (job && (!lease_judge_job(dispatch, job, now_ms) ||
+		    give_up_late_job(job, now_ms)))
 		return;
 	dispatch->is_full = false;
 	/* Behind a backlog it waits for the next round. */
--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -75,6 +75,7 @@
 {
 	lease_release(lease_node->dispatch);
 	lease_node_send_crashes(lease_node, now_ms);
+	lease_node_send_late_starts(lease_node, now_ms);
 }
 
 /* Applies a change of the leader. */
@@ -169,6 +170,7 @@
 	relay_tick(lease_node->relay, now_ms);
 	lease_tick(lease_node->dispatch, now_ms);
 	lease_node_send_crashes(lease_node, now_ms);
+	lease_node_send_late_starts(lease_node, now_ms);
 	lease_node_expire_jobs(lease_node, now_ms);
 }
 
@@ -299,6 +301,7 @@
 			    now_ms);
 	if (reply->answer != POOL_OK)
 		lease_run(lease_node->dispatch, now_ms);
+	lease_node_send_late_starts(lease_node, now_ms);
 }
 
 void lease_node_stop_answered(struct lease_node *lease_node, uint64_t token,
@@ -364,6 +367,7 @@
 	lease_node_check_pause(lease_node, now_ms);
 	leader_link_up(lease_node->members, hello, now_ms);
 	lease_node_send_all_crashes(lease_node, hello->incarnation, now_ms);
+	lease_node_send_all_late_starts(lease_node, hello->incarnation, now_ms);
 	lease_node_send_beats(lease_node, now_ms);
 	lease_node_reassign(lease_node, now_ms);
 }
@@ -426,8 +430,9 @@
 		 lease_node->claim ? "yes" : "no");
 	lease_node->stopping = true;
 	leader_stop(lease_node->members);
-	lease_node_send_beats(lease_node, now_ms);
+	/* What others must know to lead goes before the beat. */
 	apply_leader(lease_node, now_ms);
+	lease_node_send_beats(lease_node, now_ms);
 }
 
 static int destroy(struct lease_node *lease_node)
--- a/packages/core/lease_node_crash.c
+++ b/packages/core/lease_node_crash.c
@@ -119,11 +119,7 @@
 /* Returns NULL, or why a member's record must not be merged. */
 static const char *find_fault(const Bergamot__TaskCrashes *row)
 {
-	size_t len = strlen(row->task);
-
-	if (len >= STEP_JOB_TASK_BYTES || len <= STEP_JOB_ID_DIGITS ||
-	    !step_job_is_id(row->task, STEP_JOB_ID_DIGITS) ||
-	    row->task[STEP_JOB_ID_DIGITS] != '.')
+	if (!step_job_is_task(row->task))
 		return "it does not name a task";
 	if (!row->n_crashes || row->n_crashes > CRASH_RECORD_MAX_CRASHES)
 		return "too few or too many crashes";
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -532,6 +532,10 @@
 		lease_node_on_crashes(lease_node, from, msg->crash_records,
 				      now_ms);
 		break;
+	case BERGAMOT__PEER__BODY_LATE_STARTS:
+		lease_node_on_late_starts(lease_node, from, msg->late_starts,
+					  now_ms);
+		break;
 	default:
 		log_debug(LOG_PEER,
 			  "dropped message of type %d of a peer: not used "
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -146,4 +146,18 @@
 void lease_node_on_crashes(struct lease_node *lease_node, uint64_t from,
 			   const Bergamot__CrashRecords *msg, uint64_t now_ms);
 
+/* lease_node_late.c */
+
+/* Tells the members that may lead next of starts that may be carried out late.
+ */
+void lease_node_send_late_starts(struct lease_node *lease_node,
+				 uint64_t now_ms);
+
+/* Sends all that are known over a new link. */
+void lease_node_send_all_late_starts(struct lease_node *lease_node, uint64_t to,
+				     uint64_t now_ms);
+void lease_node_on_late_starts(struct lease_node *lease_node, uint64_t from,
+			       const Bergamot__LateStarts *msg,
+			       uint64_t now_ms);
+
 #endif
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -23,7 +23,6 @@
 	HASH_CLEAR(hh_key, pool->by_key);
 	HASH_CLEAR(hh, pool->by_token);
 	HASH_CLEAR(hh, pool->found);
-	HASH_CLEAR(hh, pool->late_tasks);
 	HASH_CLEAR(hh, pool->orders);
 	return 0;
 }
@@ -37,6 +36,7 @@
 	pool->ports = options->ports;
 	TAILQ_INIT(&pool->workers);
 	LIST_INIT(&pool->taskless);
+	pool->late_tasks = late_create(pool);
 	pool->room_version = 1;
 	talloc_set_destructor(pool, destroy);
 	return pool;
@@ -47,6 +47,11 @@
 	return &pool->workers;
 }
 
+struct late_tasks *pool_late_tasks(struct lease_pool *pool)
+{
+	return pool->late_tasks;
+}
+
 bool pool_leads(const struct lease_pool *pool)
 {
 	return pool->fence != 0;
@@ -658,8 +663,10 @@
 
 	pool->fence = pool->highest_fence = 0;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
-		while ((run = LIST_FIRST(&worker->runs)))
+		while ((run = LIST_FIRST(&worker->runs))) {
+			pool_note_late_task(pool, run, true);
 			pool_free_run(pool, run);
+		}
 		pool_forget_late_starts(worker);
 		pool_forget_orders(pool, worker);
 		worker->raised_by = 0;
@@ -671,7 +678,7 @@
 		worker->ends_read = worker->ends_acked = 0;
 	}
 	expire_found_ends(pool, UINT64_MAX);
-	pool_forget_late_tasks(pool, UINT64_MAX);
+	late_forget_runs(pool->late_tasks);
 }
 
 void pool_mark_foreign(struct lease_pool *pool, struct pool_worker *worker,
@@ -800,7 +807,8 @@
 
 	pool->ticked_ms = now_ms;
 	expire_found_ends(pool, now_ms);
-	pool_forget_late_tasks(pool, now_ms);
+	if (late_expire(pool->late_tasks, now_ms))
+		pool->room_version++;
 	pool_send_due_probes(pool, now_ms);
 	for (; worker; worker = next) {
 		next = TAILQ_NEXT(worker, entry);
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -34,6 +34,7 @@
  * Not for choosing jobs or workers: see core/lease_dispatch.h.
  */
 
+struct late_tasks;
 struct lease_pool;
 
 /* A worker's registration. */
@@ -479,6 +480,15 @@
  */
 bool pool_has_unneeded_run(const struct lease_pool *pool, const char *task);
 
+/*
+ * Returns the time until which a task waits as one of its starts, perhaps by
+ * another leader, may be carried out late; 0 if it does not.
+ */
+uint64_t pool_late_until_ms(const struct lease_pool *pool, const char *task);
+
+/* Returns these tasks, to be told to other members. */
+struct late_tasks *pool_late_tasks(struct lease_pool *pool);
+
 /* Calls found_run and found_done for what was found of a job, now known. */
 void pool_offer_found(struct lease_pool *pool, const char *job,
 		      uint64_t now_ms);
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -691,6 +691,7 @@
 			 run->job, worker->id, run->name, run->number,
 			 now_ms - run->sent_ms);
 		run->state = POOL_UNCONFIRMED;
+		pool_note_late_task(pool, run, false);
 		overdue++;
 	}
 	if (overdue)
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -214,50 +214,23 @@
 		forget_late_start(LIST_FIRST(&worker->late_starts));
 }
 
-void pool_forget_late_tasks(struct lease_pool *pool, uint64_t before_ms)
-{
-	struct late_task *late, *next;
-
-	HASH_ITER(hh, pool->late_tasks, late, next) {
-		if (late->until_ms > before_ms)
-			continue;
-		HASH_DEL(pool->late_tasks, late);
-		talloc_free(late);
-		pool->room_version++;
-	}
-}
-
-/*
- * A later process of the worker may carry the run's start out, and the run is
- * open for a lease.
- */
-static void note_late_task(struct lease_pool *pool, const struct pool_run *run)
+void pool_note_late_task(struct lease_pool *pool, const struct pool_run *run,
+			 bool waits)
 {
 	uint64_t sent_ms = run->answered_ms ? run->late_ms : run->sent_ms;
-	uint64_t until_ms = pool_lapse_ms(pool, sent_ms + POOL_LATEST_ORDER_MS);
-	struct late_task *late;
 
 #ifdef BREAK_LATE_TASK
 	return;
 #endif
-	if (!run->started_here)
-		return;
-	HASH_FIND_STR(pool->late_tasks, run->name, late);
-	if (!late) {
-		late = talloc_zero(pool, struct late_task);
-		memcpy(late->name, run->name, sizeof(late->name));
-		HASH_ADD_STR(pool->late_tasks, name, late);
-	}
-	if (until_ms > late->until_ms)
-		late->until_ms = until_ms;
+	if (run->started_here && sent_ms)
+		late_note(pool->late_tasks, run->name,
+			  pool_lapse_ms(pool, sent_ms + POOL_LATEST_ORDER_MS),
+			  waits);
 }
 
-static bool is_late_task(const struct lease_pool *pool, const char *task)
+uint64_t pool_late_until_ms(const struct lease_pool *pool, const char *task)
 {
-	struct late_task *late;
-
-	HASH_FIND_STR(pool->late_tasks, task, late);
-	return late != NULL;
+	return late_until_ms(pool->late_tasks, task);
 }
 
 static void remember_late_start(struct lease_pool *pool,
@@ -274,7 +247,7 @@
 	}
 	if (!may_start_late(run, now_ms))
 		return;
-	note_late_task(pool, run);
+	pool_note_late_task(pool, run, true);
 #ifdef BREAK_LATE_START
 	return;
 #endif
@@ -606,6 +579,7 @@
 		if (run->state != POOL_STARTING)
 			break;
 		run->state = POOL_UNCONFIRMED;
+		pool_note_late_task(pool, run, false);
 		if (worker->state == POOL_HELD)
 			pool_send_hold(pool, worker, 0, now_ms);
 		break;
@@ -664,7 +638,7 @@
 
 bool pool_has_unneeded_runs(const struct lease_pool *pool)
 {
-	return !LIST_EMPTY(&pool->taskless) || pool->late_tasks;
+	return !LIST_EMPTY(&pool->taskless) || !late_is_empty(pool->late_tasks);
 }
 
 bool pool_has_unneeded_run(const struct lease_pool *pool, const char *task)
@@ -677,7 +651,7 @@
 	LIST_FOREACH(run, &pool->taskless, in_taskless)
 		if (!strcmp(run->name, task))
 			return true;
-	return is_late_task(pool, task);
+	return pool_late_until_ms(pool, task) != 0;
 }
 
 void pool_offer_found(struct lease_pool *pool, const char *job, uint64_t now_ms)
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -1,6 +1,7 @@
 #ifndef CORE_LEASE_POOL_STATE_H
 #define CORE_LEASE_POOL_STATE_H
 
+#include "core/late_task.h"
 #include "core/lease_pool.h"
 
 /*
@@ -54,13 +55,6 @@
 	bool is_lost; /* it was given up, and may be carried out late */
 };
 
-/* A task of a closed run whose start may yet be carried out. */
-struct late_task {
-	UT_hash_handle hh;
-	char name[STEP_JOB_TASK_BYTES];
-	uint64_t until_ms;
-};
-
 struct lease_pool {
 	struct pool_options options;
 	const struct pool_ports *ports;
@@ -69,7 +63,7 @@
 	struct pool_worker_list workers;
 	struct pool_run *by_token;
 	struct found_job *found;
-	struct late_task *late_tasks;
+	struct late_tasks *late_tasks;
 	struct pool_order *orders; /* by number */
 	LIST_HEAD(, pool_run) taskless; /* runs that no task needs */
 	struct pool_slot *slots; /* one for each worker */
@@ -275,8 +269,12 @@
 			     struct pool_worker *worker, uint64_t now_ms);
 void pool_forget_late_starts(struct pool_worker *worker);
 
-/* Forgets tasks whose starts can no longer be carried out before a time. */
-void pool_forget_late_tasks(struct lease_pool *pool, uint64_t before_ms);
+/*
+ * Notes that a start of the run without an answer may be carried out late;
+ * waits: the run is not open here, so that its task must wait.
+ */
+void pool_note_late_task(struct lease_pool *pool, const struct pool_run *run,
+			 bool waits);
 
 /* Calls found_run for an open run; stops the run if its task needs no run. */
 void pool_offer_run(struct lease_pool *pool, struct pool_run *run,
--- a/packages/core/step_job.c
+++ b/packages/core/step_job.c
@@ -18,6 +18,15 @@
 	       strspn(text, "0123456789abcdefABCDEF") >= len;
 }
 
+bool step_job_is_task(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len < STEP_JOB_TASK_BYTES && len > STEP_JOB_ID_DIGITS &&
+	       step_job_is_id(text, STEP_JOB_ID_DIGITS) &&
+	       text[STEP_JOB_ID_DIGITS] == '.';
+}
+
 const char *step_job_status_text(enum step_job_status status)
 {
 	return status_texts[status];
--- a/packages/core/step_job.h
+++ b/packages/core/step_job.h
@@ -60,6 +60,9 @@
 /* Returns true if text is 16 hexadecimal digits, of either case. */
 bool step_job_is_id(const char *text, size_t len);
 
+/* Returns true if text can name a task: a job's id, a dot, and more. */
+bool step_job_is_task(const char *text);
+
 /*
  * Checks a parsed job. max_tasks limits the tasks of all steps together. On
  * failure *message, a literal, names the fault.
--- /dev/null
+++ b/packages/core/tests/test_late_task.c
@@ -0,0 +1,85 @@
+#include <stdio.h>
+
+#include "base/tests/run_suite.h"
+#include "core/late_task.h"
+
+#define TASK "00000000000000a1.0.0.0"
+#define OTHER "00000000000000a1.0.0.1"
+
+static struct late_tasks *late;
+
+static void set_up(void)
+{
+	late = late_create(NULL);
+}
+
+static void tear_down(void)
+{
+	talloc_free(late);
+}
+
+START_TEST(test_task_of_a_run_elsewhere_waits)
+{
+	late_note(late, TASK, 5000, true);
+	ck_assert_uint_eq(late_until_ms(late, TASK), 5000);
+	ck_assert_uint_eq(late_until_ms(late, OTHER), 0);
+	/* A later start counts, an earlier one shortens nothing. */
+	late_note(late, TASK, 7000, true);
+	late_note(late, TASK, 6000, true);
+	ck_assert_uint_eq(late_until_ms(late, TASK), 7000);
+	ck_assert(!late_expire(late, 6999));
+	ck_assert(late_expire(late, 7000));
+	ck_assert(late_is_empty(late));
+}
+END_TEST
+
+/* It waits once its run is not known any more. */
+START_TEST(test_task_of_a_run_that_is_open_here)
+{
+	late_note(late, TASK, 5000, false);
+	ck_assert_uint_eq(late_until_ms(late, TASK), 0);
+	late_forget_runs(late);
+	ck_assert_uint_eq(late_until_ms(late, TASK), 5000);
+}
+END_TEST
+
+START_TEST(test_each_time_is_told_once)
+{
+	late_note(late, TASK, 5000, false);
+	ck_assert(late_has_unsent(late));
+	ck_assert(late_first(late)->is_unsent);
+	late_mark_sent(late);
+	late_note(late, TASK, 5000, true);
+	ck_assert(!late_has_unsent(late));
+	late_note(late, TASK, 5001, true);
+	ck_assert(late_has_unsent(late));
+	late_mark_sent(late);
+	late_merge(late, OTHER, 9000);
+	ck_assert(!late_has_unsent(late));
+	ck_assert_uint_eq(late_until_ms(late, OTHER), 9000);
+}
+END_TEST
+
+START_TEST(test_table_is_bounded)
+{
+	char name[STEP_JOB_TASK_BYTES];
+	size_t count = 0;
+
+	for (int i = 0; i < LATE_TASK_MAX + 10; i++) {
+		snprintf(name, sizeof(name), "%016x.0.0.0", i);
+		late_note(late, name, 5000, true);
+	}
+	for (struct late_task *t = late_first(late); t; t = t->hh.next)
+		count++;
+	ck_assert_uint_eq(count, LATE_TASK_MAX);
+	ck_assert_uint_eq(late_until_ms(late, name), 5000);
+}
+END_TEST
+
+int main(void)
+{
+	return RUN_CASE("late_task", set_up, tear_down,
+			test_task_of_a_run_elsewhere_waits,
+			test_task_of_a_run_that_is_open_here,
+			test_each_time_is_told_once, test_table_is_bounded);
+}
--- a/packages/core/tests/test_lease_attempts.c
+++ b/packages/core/tests/test_lease_attempts.c
@@ -33,10 +33,11 @@
 	talloc_free(fake);
 }
 
-static void submit(void)
+static void submit(uint32_t earlier_leaders)
 {
 	struct lease_submission job = fake_orders_submission(ID, 1);
 
+	job.handed = earlier_leaders;
 	job.remaining_ms = BUDGET_MS;
 	fake_orders_submit(fake, &job);
 }
@@ -48,8 +49,8 @@
 	uint32_t starts = 0;
 	uint64_t end_number[WORKERS + 1] = { 0 };
 
-	submit(); /* attempts: 2 */
-	for (int i = 0; i < 20 && !fake->answer_count; i++) {
+	submit(0); /* attempts: 2 */
+	for (int i = 0; i < BUDGET_MS && !fake->answer_count; i += STEP_MS) {
 		const struct fake_orders_order *start =
 			fake_orders_started(fake, TASK);
 		struct pool_listed_end end;
@@ -77,7 +78,7 @@
 		lease_release(fake->dispatch);
 		fake_orders_advance(fake, STEP_MS);
 		fake_orders_lead(fake, 6);
-		submit();
+		submit(1);
 	}
 	ck_assert_uint_le(starts, 2);
 }
--- a/packages/core/tests/test_lease_late_grants.c
+++ b/packages/core/tests/test_lease_late_grants.c
@@ -8,11 +8,14 @@
 #include <stdlib.h>
 
 #include "base/tests/run_suite.h"
+#include "core/late_task.h"
 #include "fake_orders.h"
 #include "fake_scenario.h"
 
 #define ID "00000000000000a1"
 #define TASK ID ".0.0.0"
+#define OTHER_ID "00000000000000a2"
+#define OTHER_TASK OTHER_ID ".0.0.0"
 #define FENCE 5
 #define EARLIEST_LATE_MS 2000 /* an order is carried out late no sooner */
 #define CLOCK_AHEAD_MS 5000 /* a fake worker's */
@@ -119,6 +122,21 @@
 }
 END_TEST
 
+/* A start may be carried out for longer than the caller waits. */
+START_TEST(test_job_that_waits_for_a_late_start_is_given_up_at_once)
+{
+	struct lease_submission job = fake_orders_submission(OTHER_ID, 1);
+	struct late_tasks *late = pool_late_tasks(lease_pool(fake->dispatch));
+
+	late_merge(late, OTHER_TASK, fake->now_ms + 5000);
+	job.remaining_ms = 1500;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->answer_count, 1);
+	ck_assert_int_eq(fake->answers[0].end, LEASE_GIVEN_UP);
+	ck_assert_ptr_null(fake_orders_started(fake, OTHER_TASK));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("lease_late_grants");
@@ -131,6 +149,9 @@
 		       test_token_rises_after_an_order_without_an_answer);
 	tcase_add_test(units, test_own_token_is_not_another_leaders);
 	tcase_add_test(units, test_no_lease_outlasts_a_late_order);
+	tcase_add_test(
+		units,
+		test_job_that_waits_for_a_late_start_is_given_up_at_once);
 	suite_add_tcase(suite, units);
 	tcase_add_loop_test(tc, test_two_runs_after_a_lease_was_granted_late, 0,
 			    (int)(sizeof(orders) / sizeof(orders[0])));
--- a/packages/core/tests/test_lease_node_peer.c
+++ b/packages/core/tests/test_lease_node_peer.c
@@ -247,6 +247,40 @@
 }
 END_TEST
 
+/* A member's note makes a task wait, unless it is damaged. */
+START_TEST(test_damaged_late_start_is_dropped)
+{
+	static const struct {
+		const char *task;
+		uint32_t over_in_ms;
+		bool is_damaged;
+	} rows[] = {
+		{ "00000000000000a1.0.0.0", 13000, false },
+		{ "00000000000000a1.0.0.1", UINT32_MAX, true },
+		{ "00000000000000a1", 1000, true },
+		{ "x", 1000, true },
+	};
+	struct lease_pool *pool = lease_pool(lease_node_dispatch(node));
+	Bergamot__LateStart row = BERGAMOT__LATE_START__INIT;
+	Bergamot__LateStart *list[] = { &row };
+	Bergamot__LateStarts msg = BERGAMOT__LATE_STARTS__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	msg.starts = list;
+	msg.n_starts = 1;
+	peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
+	peer.late_starts = &msg;
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		row.task = (char *)rows[i].task;
+		row.over_in_ms = rows[i].over_in_ms;
+		lease_node_peer_message(node, 1, &peer, now_ms);
+		ck_assert_uint_eq(pool_late_until_ms(pool, rows[i].task),
+				  rows[i].is_damaged ? 0
+						     : now_ms + row.over_in_ms);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	return RUN_CASE("lease_node_peer", set_up, tear_down,
@@ -255,5 +289,6 @@
 			test_new_version_is_not_broadcast,
 			test_member_that_stays_behind_gets_it,
 			test_new_member_is_given_time,
-			test_damaged_job_is_refused);
+			test_damaged_job_is_refused,
+			test_damaged_late_start_is_dropped);
 }
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -115,6 +115,7 @@
 		add(list, SCENARIO_PARTITION, 0, 1 << w);
 		add(list, SCENARIO_RESTART_WORKER, w, 0);
 		add(list, SCENARIO_RESTART_WORKER, w, 500);
+		add(list, SCENARIO_RESTART_WORKER, w, 3000);
 		add(list, SCENARIO_DRAIN, w, 0);
 		add(list, SCENARIO_UNREGISTER, w, 3000);
 		add(list, SCENARIO_LOSE_ANSWER, w, 0);
--- a/packages/core/tests/test_lease_restart.c
+++ b/packages/core/tests/test_lease_restart.c
@@ -54,6 +54,13 @@
 	"2258:restart_worker(1,500)",
 	"0 0 1 0 0 0 334:partition(2,0) 1075:delay_start(1,0) "
 	"1817:restart_worker(1,500)",
+	/* The next leader knows of the start only if it was told. */
+	"0 1 0 0 0 0 0:delay_start(0,5000) 400:kill(0,0) "
+	"1500:restart_worker(0,3450)",
+	"1 1 0 0 0 0 0:delay_start(0,5000) 650:kill(0,0) "
+	"1500:restart_worker(0,3450)",
+	"1 1 0 0 0 0 0:delay_start(0,5000) 900:stop(0,0) "
+	"1500:restart_worker(0,3450)",
 };
 
 START_TEST(test_two_runs_after_a_delayed_start_and_a_restart)
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1627,6 +1627,96 @@
   assert(message->base.descriptor == &bergamot__crash_records__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bergamot__late_start__init
+                     (Bergamot__LateStart         *message)
+{
+  static const Bergamot__LateStart init_value = BERGAMOT__LATE_START__INIT;
+  *message = init_value;
+}
+size_t bergamot__late_start__get_packed_size
+                     (const Bergamot__LateStart *message)
+{
+  assert(message->base.descriptor == &bergamot__late_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__late_start__pack
+                     (const Bergamot__LateStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__late_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__late_start__pack_to_buffer
+                     (const Bergamot__LateStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__late_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__LateStart *
+       bergamot__late_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__LateStart *)
+     protobuf_c_message_unpack (&bergamot__late_start__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__late_start__free_unpacked
+                     (Bergamot__LateStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__late_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bergamot__late_starts__init
+                     (Bergamot__LateStarts         *message)
+{
+  static const Bergamot__LateStarts init_value = BERGAMOT__LATE_STARTS__INIT;
+  *message = init_value;
+}
+size_t bergamot__late_starts__get_packed_size
+                     (const Bergamot__LateStarts *message)
+{
+  assert(message->base.descriptor == &bergamot__late_starts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__late_starts__pack
+                     (const Bergamot__LateStarts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__late_starts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__late_starts__pack_to_buffer
+                     (const Bergamot__LateStarts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__late_starts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__LateStarts *
+       bergamot__late_starts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__LateStarts *)
+     protobuf_c_message_unpack (&bergamot__late_starts__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__late_starts__free_unpacked
+                     (Bergamot__LateStarts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__late_starts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bergamot__peer__init
                      (Bergamot__Peer         *message)
 {
@@ -4826,7 +4916,96 @@
   (ProtobufCMessageInit) bergamot__crash_records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[19] =
+static const ProtobufCFieldDescriptor bergamot__late_start__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LateStart, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "over_in_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LateStart, over_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__late_start__field_indices_by_name[] = {
+  1,   /* field[1] = over_in_ms */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange bergamot__late_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bergamot__late_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.LateStart",
+  "LateStart",
+  "Bergamot__LateStart",
+  "bergamot",
+  sizeof(Bergamot__LateStart),
+  2,
+  bergamot__late_start__field_descriptors,
+  bergamot__late_start__field_indices_by_name,
+  1,  bergamot__late_start__number_ranges,
+  (ProtobufCMessageInit) bergamot__late_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__late_starts__field_descriptors[1] =
+{
+  {
+    "starts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__LateStarts, n_starts),
+    offsetof(Bergamot__LateStarts, starts),
+    &bergamot__late_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__late_starts__field_indices_by_name[] = {
+  0,   /* field[0] = starts */
+};
+static const ProtobufCIntRange bergamot__late_starts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bergamot__late_starts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.LateStarts",
+  "LateStarts",
+  "Bergamot__LateStarts",
+  "bergamot",
+  sizeof(Bergamot__LateStarts),
+  1,
+  bergamot__late_starts__field_descriptors,
+  bergamot__late_starts__field_indices_by_name,
+  1,  bergamot__late_starts__number_ranges,
+  (ProtobufCMessageInit) bergamot__late_starts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[20] =
 {
   {
     "hello",
@@ -5056,6 +5235,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_starts",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__Peer, body_case),
+    offsetof(Bergamot__Peer, late_starts),
+    &bergamot__late_starts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__peer__field_indices_by_name[] = {
   11,   /* field[11] = config_ask */
@@ -5070,6 +5261,7 @@
   5,   /* field[5] = hand_over_ack */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  19,   /* field[19] = late_starts */
   15,   /* field[15] = leader_beat */
   12,   /* field[12] = queue_job */
   14,   /* field[14] = queue_job_cancel */
@@ -5082,7 +5274,7 @@
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor bergamot__peer__descriptor =
 {
@@ -5092,7 +5284,7 @@
   "Bergamot__Peer",
   "bergamot",
   sizeof(Bergamot__Peer),
-  19,
+  20,
   bergamot__peer__field_descriptors,
   bergamot__peer__field_indices_by_name,
   2,  bergamot__peer__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -51,6 +51,8 @@
 typedef struct Bergamot__WorkerCrash Bergamot__WorkerCrash;
 typedef struct Bergamot__TaskCrashes Bergamot__TaskCrashes;
 typedef struct Bergamot__CrashRecords Bergamot__CrashRecords;
+typedef struct Bergamot__LateStart Bergamot__LateStart;
+typedef struct Bergamot__LateStarts Bergamot__LateStarts;
 typedef struct Bergamot__Peer Bergamot__Peer;
 
 
@@ -799,6 +801,38 @@
     , 0,NULL }
 
 
+/*
+ * A task one of whose starts has no answer and may be carried out late.
+ */
+struct  Bergamot__LateStart
+{
+  ProtobufCMessage base;
+  char *task;
+  /*
+   * Time after which it can no longer have begun a run that is open.
+   */
+  uint32_t over_in_ms;
+};
+#define BERGAMOT__LATE_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__late_start__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Such tasks, from the leader to the members that may lead next as it notes
+ * them, and from each member over a new link.
+ */
+struct  Bergamot__LateStarts
+{
+  ProtobufCMessage base;
+  size_t n_starts;
+  Bergamot__LateStart **starts;
+};
+#define BERGAMOT__LATE_STARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__late_starts__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   BERGAMOT__PEER__BODY__NOT_SET = 0,
   BERGAMOT__PEER__BODY_HELLO = 1,
@@ -819,7 +853,8 @@
   BERGAMOT__PEER__BODY_LEADER_BEAT = 16,
   BERGAMOT__PEER__BODY_WORKER_ORDERS = 17,
   BERGAMOT__PEER__BODY_WORKER_ANSWERS = 18,
-  BERGAMOT__PEER__BODY_CRASH_RECORDS = 20
+  BERGAMOT__PEER__BODY_CRASH_RECORDS = 20,
+  BERGAMOT__PEER__BODY_LATE_STARTS = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BERGAMOT__PEER__BODY__CASE)
 } Bergamot__Peer__BodyCase;
 
@@ -847,6 +882,7 @@
     Bergamot__WorkerOrders *worker_orders;
     Bergamot__WorkerAnswers *worker_answers;
     Bergamot__CrashRecords *crash_records;
+    Bergamot__LateStarts *late_starts;
   };
 };
 #define BERGAMOT__PEER__INIT \
@@ -1538,6 +1574,44 @@
 void   bergamot__crash_records__free_unpacked
                      (Bergamot__CrashRecords *message,
                       ProtobufCAllocator *allocator);
+/* Bergamot__LateStart methods */
+void   bergamot__late_start__init
+                     (Bergamot__LateStart         *message);
+size_t bergamot__late_start__get_packed_size
+                     (const Bergamot__LateStart   *message);
+size_t bergamot__late_start__pack
+                     (const Bergamot__LateStart   *message,
+                      uint8_t             *out);
+size_t bergamot__late_start__pack_to_buffer
+                     (const Bergamot__LateStart   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__LateStart *
+       bergamot__late_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__late_start__free_unpacked
+                     (Bergamot__LateStart *message,
+                      ProtobufCAllocator *allocator);
+/* Bergamot__LateStarts methods */
+void   bergamot__late_starts__init
+                     (Bergamot__LateStarts         *message);
+size_t bergamot__late_starts__get_packed_size
+                     (const Bergamot__LateStarts   *message);
+size_t bergamot__late_starts__pack
+                     (const Bergamot__LateStarts   *message,
+                      uint8_t             *out);
+size_t bergamot__late_starts__pack_to_buffer
+                     (const Bergamot__LateStarts   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__LateStarts *
+       bergamot__late_starts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__late_starts__free_unpacked
+                     (Bergamot__LateStarts *message,
+                      ProtobufCAllocator *allocator);
 /* Bergamot__Peer methods */
 void   bergamot__peer__init
                      (Bergamot__Peer         *message);
@@ -1667,6 +1741,12 @@
 typedef void (*Bergamot__CrashRecords_Closure)
                  (const Bergamot__CrashRecords *message,
                   void *closure_data);
+typedef void (*Bergamot__LateStart_Closure)
+                 (const Bergamot__LateStart *message,
+                  void *closure_data);
+typedef void (*Bergamot__LateStarts_Closure)
+                 (const Bergamot__LateStarts *message,
+                  void *closure_data);
 typedef void (*Bergamot__Peer_Closure)
                  (const Bergamot__Peer *message,
                   void *closure_data);
@@ -1716,6 +1796,8 @@
 extern const ProtobufCMessageDescriptor bergamot__worker_crash__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__task_crashes__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__crash_records__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__late_start__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__late_starts__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__peer__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -305,6 +305,20 @@
 	}
 }
 
+static void fill_late_starts(struct input *in, Bergamot__LateStarts *late)
+{
+	late->n_starts = next_byte(in) % 4;
+	late->starts = talloc_array(mem, Bergamot__LateStart *, late->n_starts);
+	for (size_t i = 0; i < late->n_starts; i++) {
+		Bergamot__LateStart *row = talloc(mem, Bergamot__LateStart);
+
+		bergamot__late_start__init(row);
+		row->task = next_text(in);
+		row->over_in_ms = (uint32_t)next_number(in);
+		late->starts[i] = row;
+	}
+}
+
 static void receive(struct input *in, uint8_t kind)
 {
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -315,6 +329,7 @@
 	Bergamot__WorkerOrders orders = BERGAMOT__WORKER_ORDERS__INIT;
 	Bergamot__WorkerAnswers answers = BERGAMOT__WORKER_ANSWERS__INIT;
 	Bergamot__CrashRecords crashes = BERGAMOT__CRASH_RECORDS__INIT;
+	Bergamot__LateStarts late = BERGAMOT__LATE_STARTS__INIT;
 	uint64_t from = 1 + next_byte(in) % MEMBERS;
 
 	switch (kind) {
@@ -349,6 +364,11 @@
 		peer.body_case = BERGAMOT__PEER__BODY_CRASH_RECORDS;
 		peer.crash_records = &crashes;
 		break;
+	case 10:
+		fill_late_starts(in, &late);
+		peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
+		peer.late_starts = &late;
+		break;
 	default:
 		fill_answers(in, &answers);
 		peer.body_case = BERGAMOT__PEER__BODY_WORKER_ANSWERS;
@@ -457,9 +477,9 @@
 	if (next_byte(&in) & 1)
 		advance(4000); /* it leads then */
 	while (in.len) {
-		uint8_t kind = next_byte(&in) % 10;
+		uint8_t kind = next_byte(&in) % 11;
 
-		if (kind < 6 || kind == 9)
+		if (kind < 6 || kind >= 9)
 			receive(&in, kind);
 		else if (kind == 6)
 			submit(&in);
