--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -29,6 +29,8 @@
 #define HUNG_FACTOR 4
 #define ESTIMATE_ERROR_PERCENT 140 /* true run time, of the estimate */
 #define HUNG_SLACK_MS 150
+/* A new leader's workers have answered their first hold, or are silent. */
+#define FIRST_LISTS_MS 300
 /* Each leader numbers a task's runs above those of earlier leaders. */
 #define RUN_NUMBERS_PER_LEADER 16
 #define OLD_RUN_NUMBER_SKIP 8 /* added after a refusal with POOL_OLD */
@@ -274,8 +276,8 @@
 }
 
 /*
- * Gives a job up if one of its starts may be carried out late for longer than
- * its caller waits. Returns false if it has not.
+ * Gives a job up if a task can't end in time, as one of its starts may be
+ * carried out late. Returns false if it has not.
  */
 static bool give_up_late(struct lease_job *job, const struct task *task,
 			 uint64_t now_ms)
@@ -286,12 +288,13 @@
 
 	lease_name_task(name, task);
 	until_ms = pool_late_until_ms(dispatch->pool, name);
-	if (task->state != TASK_WAITING || until_ms <= job->deadline_ms)
+	if (task->state != TASK_WAITING || until_ms <= now_ms ||
+	    until_ms + job->steps[task->step].estimate_ms <= job->deadline_ms)
 		return false;
 	log_info(LOG_JOB,
-		 "job %s: a start of task %s has no answer and may be carried "
-		 "out until %" PRIu64 " ms after the caller's deadline",
-		 job->id, name, until_ms - job->deadline_ms);
+		 "job %s: a start of task %s has no answer; it waits for "
+		 "%" PRIu64 " ms, its caller for %" PRIu64 " ms",
+		 job->id, name, until_ms - now_ms, job->deadline_ms - now_ms);
 	lease_finish(dispatch, job, LEASE_GIVEN_UP, LEASE_DEADLINE, now_ms);
 	return true;
 }
@@ -711,8 +714,12 @@
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
 	job = find_job(dispatch, id);
-	if (job && (!lease_judge_job(dispatch, job, now_ms) ||
-		    give_up_late_job(job, now_ms)))
+	if (job && !lease_judge_job(dispatch, job, now_ms))
+		return;
+	/* A new leader's workers may yet list the run of the late start. */
+	if (job && pool_has_unanswered(dispatch->pool, now_ms))
+		job->late_check_ms = now_ms + FIRST_LISTS_MS;
+	else if (job && give_up_late_job(job, now_ms))
 		return;
 	dispatch->is_full = false;
 	/* Behind a backlog it waits for the next round. */
@@ -1204,6 +1211,11 @@
 static void tick_job(struct lease_dispatch *dispatch, struct lease_job *job,
 		     uint64_t now_ms)
 {
+	if (job->late_check_ms && job->late_check_ms <= now_ms) {
+		job->late_check_ms = 0;
+		if (give_up_late_job(job, now_ms))
+			return;
+	}
 	lease_refresh_key(job, now_ms);
 	if (job->is_probe_due && job->probe_after_ms <= now_ms)
 		probe_for(dispatch, job, now_ms, now_ms);
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -61,6 +61,7 @@
 	uint64_t probe_after_ms;
 	bool is_probe_due; /* at probe_after_ms */
 	uint64_t abandon_at_ms; /* time to stop it; 0: it has a waiter */
+	uint64_t late_check_ms; /* time to see whether a late start is open */
 	/* Its caller has waited then or later, as lost entries showed. */
 	uint64_t waited_ms;
 	char *text;
