core: late starts are told in ticks

Each start without an answer was told at once, 12 ms after it was sent, and most are answered a moment later.

--- a/packages/core/lease_node.c
+++ b/packages/core/lease_node.c
@@ -301,7 +301,6 @@
 			    now_ms);
 	if (reply->answer != POOL_OK)
 		lease_run(lease_node->dispatch, now_ms);
-	lease_node_send_late_starts(lease_node, now_ms);
 }
 
 void lease_node_stop_answered(struct lease_node *lease_node, uint64_t token,
