--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -307,6 +307,84 @@
 	return false;
 }
 
+/* Tells the entry of a waiter, so that it hands the runs on with the job. */
+static void tell_failures(struct lease_job *job,
+			  const struct lease_waiter *waiter,
+			  const struct failed_runs *runs)
+{
+	struct lease_dispatch *dispatch = job->dispatch;
+	struct lease_failures failures = {
+		.waiter = *waiter,
+		.id = job->id,
+		.runs = *runs,
+	};
+
+#ifdef BREAK_TELL_FAILED
+	return;
+#endif
+	if (dispatch->options.failed)
+		dispatch->options.failed(dispatch->options.ctx, &failures);
+}
+
+/*
+ * Counts a failed run of a task once. Returns false, and counts nothing,
+ * without room to note its number.
+ */
+static bool count_failure(struct task *task, uint32_t number)
+{
+	struct lease_job *job = task->job;
+	struct failed_run run = { task->step, task->index, number };
+	enum failed_run_added added = failed_runs_add(job, &job->failed, &run);
+
+#ifdef BREAK_COUNT_ONCE
+	added = FAILED_RUN_NEW;
+#endif
+	if (added != FAILED_RUN_NEW)
+		return added == FAILED_RUN_KNOWN;
+	task->failures++;
+	if (number >= task->next_number)
+		task->next_number = number + 1;
+	return true;
+}
+
+/* The same, and tells all waiters' entries. */
+static bool note_failed(struct task *task, uint32_t number)
+{
+	struct lease_job *job = task->job;
+	struct failed_run run = { task->step, task->index, number };
+	struct failed_runs runs = { job->failed.attempt, &run, 1 };
+	struct waiter_link *w;
+
+	if (!count_failure(task, number))
+		return false;
+	LIST_FOREACH(w, &job->waiters, entry)
+		tell_failures(job, &w->waiter, &runs);
+	return true;
+}
+
+/* Ends the job if a task would start that has failed too often. */
+static bool fail_if_spent(struct task *task, uint64_t now_ms)
+{
+	struct lease_job *job = task->job;
+
+	if (task->state != TASK_WAITING || task->failures < job->attempts)
+		return false;
+	lease_finish(job->dispatch, job, LEASE_FAILED, LEASE_ATTEMPTS, now_ms);
+	return true;
+}
+
+static bool fail_spent_job(struct lease_job *job, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < job->failed.count; i++) {
+		const struct failed_run *run = &job->failed.rows[i];
+
+		if (fail_if_spent(&job->states[run->step].tasks[run->index],
+				  now_ms))
+			return true;
+	}
+	return false;
+}
+
 static void on_run_closed(void *ctx, struct pool_run *run, enum pool_end how,
 			  uint64_t now_ms)
 {
@@ -336,10 +414,10 @@
 	log_info(LOG_JOB, "job %s: task %s run %u on worker %s ended: %s",
 		 job->id, run->name, run->number, run->worker->id,
 		 pool_end_text(how));
-	if (how == POOL_FAILED && ++task->failures >= job->attempts)
-		lease_finish(dispatch, job, LEASE_FAILED, LEASE_ATTEMPTS,
-			     now_ms);
-	else
+	/* A run closes once: it counts also without room to note its number. */
+	if (how == POOL_FAILED && !note_failed(task, run->number))
+		task->failures++;
+	if (!fail_if_spent(task, now_ms))
 		give_up_late(job, task, now_ms);
 }
 
@@ -472,6 +550,43 @@
 	return over_ms;
 }
 
+/*
+ * Counts the failed runs that an entry hands on with its job. Those of another
+ * attempt don't count: the caller has sent the job again since.
+ */
+static void merge_failed(struct lease_job *job, const struct failed_runs *runs)
+{
+#ifndef BREAK_ATTEMPT
+	if (runs->attempt != job->failed.attempt)
+		return;
+#endif
+	for (uint32_t i = 0; i < runs->count; i++) {
+		const struct failed_run *run = &runs->rows[i];
+		const char *fault =
+			failed_run_find_fault(run, job->steps, job->step_count);
+
+		if (!fault)
+			count_failure(&job->states[run->step].tasks[run->index],
+				      run->number);
+		else
+			log_warning(LOG_JOB,
+				    "job %s: dropped a failed run that its "
+				    "entry tells: %s",
+				    job->id, fault);
+	}
+}
+
+/*
+ * Returns the attempt of a new job: another one for each time that a caller
+ * sends it.
+ */
+static uint64_t find_attempt(const struct lease_submission *from)
+{
+	if (from->handed && from->failed.attempt)
+		return from->failed.attempt;
+	return from->waiter.entry + from->waiter.request;
+}
+
 static struct lease_job *create_job(struct lease_dispatch *dispatch,
 				    const struct lease_submission *from,
 				    uint64_t now_ms)
@@ -491,9 +606,11 @@
 	job->objective_ms = from->objective_ms;
 	job->deadline_ms = now_ms + from->remaining_ms;
 	job->earlier_runs_over_ms = runs_over_ms(dispatch, from, now_ms);
-	job->begun = from->handed != 0;
+	job->begun = job->is_resumed = from->handed != 0;
+	job->failed.attempt = find_attempt(from);
 	copy_steps(job, from);
 	create_tasks(job, 1 + from->handed * RUN_NUMBERS_PER_LEADER);
+	merge_failed(job, &from->failed);
 	LIST_INIT(&job->waiters);
 	add_waiter(job, &from->waiter);
 	note_waited(job, from->waited_ms);
@@ -545,7 +662,9 @@
 		return true; /* a second run of its task: the pool stops it */
 	begin_running(task);
 	task->run = run;
-	task->next_number = run->number + 1;
+	/* Each number stands for one run: a failed one counts by it. */
+	if (run->number >= task->next_number)
+		task->next_number = run->number + 1;
 	run->task = task;
 	run->demand = job->steps[task->step].demand;
 	run->estimate_ms = job->steps[task->step].estimate_ms;
@@ -554,17 +673,10 @@
 	return true;
 }
 
-static bool adopt_done(void *ctx, const char *id, const char *name,
-		       uint64_t now_ms)
+static void adopt_done(struct task *task, uint64_t now_ms)
 {
-	struct lease_dispatch *dispatch = ctx;
-	struct lease_job *job = find_job(dispatch, id);
-	struct task *task = job ? find_task(job, name) : NULL;
+	struct lease_dispatch *dispatch = task->job->dispatch;
 
-	if (!job)
-		return false;
-	if (!task || task->state == TASK_DONE)
-		return true;
 	if (task->state == TASK_RUNNING) {
 		pool_abandon(dispatch->pool, task->run, now_ms);
 		end_running(task);
@@ -572,6 +684,52 @@
 		end_waiting(task);
 	}
 	note_done(task, now_ms);
+}
+
+/*
+ * Returns true if a run that this leader has not seen open counts for a job.
+ * One that ended before the caller sent the job is of an earlier attempt, and
+ * may be so also if no earlier leader has had the job.
+ */
+static bool is_of_attempt(const struct lease_job *job, uint64_t read_ms)
+{
+#ifdef BREAK_ATTEMPT
+	return true;
+#endif
+	return job->is_resumed && read_ms >= job->received_ms;
+}
+
+static void adopt_failed(struct task *task, uint32_t number, uint64_t read_ms,
+			 uint64_t now_ms)
+{
+	struct lease_job *job = task->job;
+	struct failed_run run = { task->step, task->index, number };
+
+	if (!is_of_attempt(job, read_ms) ||
+	    failed_run_find_fault(&run, job->steps, job->step_count))
+		return;
+	log_info(LOG_JOB,
+		 "job %s: run %u of task %u.%u was found to have failed",
+		 job->id, number, task->step, task->index);
+	if (note_failed(task, number))
+		fail_if_spent(task, now_ms);
+}
+
+static bool adopt_end(void *ctx, const char *id,
+		      const struct pool_listed_end *end, uint64_t read_ms,
+		      uint64_t now_ms)
+{
+	struct lease_job *job = find_job(ctx, id);
+	struct task *task = job ? find_task(job, end->task) : NULL;
+
+	if (!job)
+		return false;
+	if (!task || task->state == TASK_DONE)
+		return true;
+	if (end->how == POOL_DONE)
+		adopt_done(task, now_ms);
+	else
+		adopt_failed(task, end->number, read_ms, now_ms);
 	return true;
 }
 
@@ -662,6 +820,11 @@
 		counter_add(COUNTER_JOBS_JOINED, 1);
 		add_waiter(job, &from->waiter);
 		note_waited(job, from->waited_ms);
+		merge_failed(job, &from->failed);
+		/* Without rows it tells the entry to forget another attempt. */
+		if (job->failed.count || from->failed.count)
+			tell_failures(job, &from->waiter, &job->failed);
+		fail_spent_job(job, now_ms); /* may free the submission */
 		return true;
 	}
 	if (!f)
@@ -711,7 +874,8 @@
 		 job->tasks, from->handed, dispatch->waiting_tasks);
 	pool_offer_found(dispatch->pool, id, now_ms); /* may free the job */
 	job = find_job(dispatch, id);
-	if (job && (!lease_judge_job(dispatch, job, now_ms) ||
+	if (job && (fail_spent_job(job, now_ms) ||
+		    !lease_judge_job(dispatch, job, now_ms) ||
 		    give_up_late_job(job, now_ms)))
 		return;
 	dispatch->is_full = false;
@@ -1332,7 +1496,7 @@
 		.list_lags = options->refresh_workers != NULL,
 		.closed = on_run_closed,
 		.found_run = adopt_run,
-		.found_done = adopt_done,
+		.found_end = adopt_end,
 		.worker_gone = lease_on_worker_gone,
 		.find_run_limit = find_run_limit,
 		.ctx = dispatch,
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "core/crash_record.h"
+#include "core/failed_runs.h"
 #include "core/lease_place.h"
 #include "core/lease_pool.h"
 #include "core/step_job.h"
@@ -70,6 +71,7 @@
 	uint64_t closed_in_ms; /* until none of their runs can be open */
 	uint64_t waited_ms; /* its caller has waited for it then or later */
 	uint64_t no_start_in_ms; /* until none of them starts a task of it */
+	struct failed_runs failed; /* under these leaders, as far as known */
 	const char *text;
 	const struct job_step *steps;
 	uint32_t step_count;
@@ -83,6 +85,13 @@
 	uint32_t retry_after_ms; /* for LEASE_REFUSED */
 };
 
+/* Runs of a waiter's job that have ended as failed, to be handed on with it. */
+struct lease_failures {
+	struct lease_waiter waiter;
+	const char *id;
+	struct failed_runs runs; /* none, some or all were told before */
+};
+
 /* Order of waiting jobs; is_before returns true if a starts before b. */
 struct lease_order {
 	const char *name;
@@ -99,6 +108,8 @@
 	bool admission; /* refuse jobs that would end too late */
 	uint64_t seed; /* of the random part of retry_after_ms */
 	void (*answer)(void *ctx, const struct lease_answer *answer);
+	/* Tells a waiter's entry of failed runs. NULL: nobody is told. */
+	void (*failed)(void *ctx, const struct lease_failures *failures);
 	/*
 	 * Reads what has changed in the list of workers; then
 	 * pool_note_list_current is called. NULL: the list is always current.
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -22,7 +22,7 @@
 	uint32_t index;
 	enum task_state state;
 	struct pool_run *run;
-	uint32_t failures;
+	uint32_t failures; /* of distinct runs, under any leader */
 	uint32_t next_number;
 	char *avoid; /* id of the worker where it failed last; or NULL */
 	enum crash_verdict verdict; /* by its record */
@@ -45,6 +45,9 @@
 	char id[STEP_JOB_ID_BYTES];
 	struct lease_waiter origin; /* whose submission created it */
 	uint32_t handed; /* of its latest submission by the origin */
+	/* It has come from an earlier leader, whose failed runs count. */
+	bool is_resumed;
+	struct failed_runs failed;
 	char *queue;
 	char *service;
 	uint32_t priority;
--- a/packages/core/lease_node_entry.c
+++ b/packages/core/lease_node_entry.c
@@ -136,6 +136,7 @@
 		.no_start_in_ms = job->no_start_ms > now_ms
 					  ? job->no_start_ms - now_ms
 					  : 0,
+		.failed = job->failed,
 		.text = job->job->text,
 		.steps = job->job->steps,
 		.step_count = job->job->step_count,
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -291,6 +291,9 @@
 		msg.closed_in_ms = (uint32_t)(job->closed_ms - now_ms);
 	if (job->no_start_ms > now_ms)
 		msg.no_start_in_ms = (uint32_t)(job->no_start_ms - now_ms);
+	msg.attempt = job->failed.attempt;
+	msg.failed = lease_node_pack_failed(mem, &job->failed);
+	msg.n_failed = job->failed.count;
 	msg.spec.data = (uint8_t *)job->job->text;
 	msg.spec.len = strlen(job->job->text);
 	msg.n_steps = job->job->step_count;
@@ -407,6 +410,8 @@
 
 	for (size_t i = 0; i < msg->n_steps; i++)
 		unpack_step(&steps[i], msg->steps[i]);
+	lease_node_unpack_failed(mem, &submission.failed, msg->attempt,
+				 msg->failed, msg->n_failed);
 	fault = find_fault(msg, &submission);
 	if (fault) {
 		log_warning(LOG_PEER,
@@ -516,6 +521,10 @@
 	case BERGAMOT__PEER__BODY_QUEUE_JOB_END:
 		on_end(lease_node, from, msg->queue_job_end, now_ms);
 		break;
+	case BERGAMOT__PEER__BODY_QUEUE_JOB_FAILURES:
+		lease_node_on_failures(lease_node, from,
+				       msg->queue_job_failures);
+		break;
 	case BERGAMOT__PEER__BODY_QUEUE_JOB_CANCEL:
 		on_cancel(lease_node, from, msg->queue_job_cancel, now_ms);
 		break;
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -33,6 +33,7 @@
 	uint32_t handed; /* number of earlier leaders that may have had it */
 	uint64_t closed_ms; /* by when these are certain to have given it up */
 	uint64_t no_start_ms; /* by when none of them starts a task of it */
+	struct failed_runs failed; /* under these leaders and the present one */
 };
 
 /*
@@ -133,6 +134,25 @@
 /* Passes the dispatcher's answer to the instance that accepted the job. */
 void lease_node_on_answer(void *ctx, const struct lease_answer *answer);
 
+/* lease_node_failed.c */
+
+/* Passes failed runs of a job to the entry that accepted it, or keeps them. */
+void lease_node_on_failed(void *ctx, const struct lease_failures *failures);
+
+/* The same from another leader, once they are checked. */
+void lease_node_on_failures(struct lease_node *lease_node, uint64_t from,
+			    const Bergamot__QueueJobFailures *msg);
+
+/*
+ * Convert failed runs to and from rows of a message, which mem owns. Unpacked
+ * rows are not checked; those beyond FAILED_RUNS_MAX are left out.
+ */
+Bergamot__FailedRun **lease_node_pack_failed(TALLOC_CTX *mem,
+					     const struct failed_runs *runs);
+void lease_node_unpack_failed(TALLOC_CTX *mem, struct failed_runs *runs,
+			      uint64_t attempt,
+			      Bergamot__FailedRun *const *rows, size_t count);
+
 /* lease_node_crash.c */
 
 /* Sends linked members the crashes noted here since the last call. */
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -308,9 +308,13 @@
 	 * stopped.
 	 */
 	bool (*found_run)(void *ctx, struct pool_run *run);
-	/* The same for a run that was found to have ended as POOL_DONE. */
-	bool (*found_done)(void *ctx, const char *job, const char *task,
-			   uint64_t now_ms);
+	/*
+	 * The same for a run that was found to have ended as POOL_DONE or
+	 * POOL_FAILED, by a list that was read at read_ms.
+	 */
+	bool (*found_end)(void *ctx, const char *job,
+			  const struct pool_listed_end *end, uint64_t read_ms,
+			  uint64_t now_ms);
 	/* Called for a worker that has gone, before its runs are closed. */
 	void (*worker_gone)(void *ctx, struct pool_worker *worker,
 			    enum pool_crash crash, uint64_t now_ms);
@@ -489,7 +493,7 @@
 /* Returns these tasks, to be told to other members. */
 struct late_tasks *pool_late_tasks(struct lease_pool *pool);
 
-/* Calls found_run and found_done for what was found of a job, now known. */
+/* Calls found_run and found_end for what was found of a job, now known. */
 void pool_offer_found(struct lease_pool *pool, const char *job,
 		      uint64_t now_ms);
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -378,8 +378,8 @@
 		run->answered_ms = now_ms;
 }
 
-static void keep_end(struct lease_pool *pool, const char *job, const char *task,
-		     uint64_t now_ms)
+static void keep_end(struct lease_pool *pool, const char *job,
+		     const struct pool_listed_end *row, uint64_t now_ms)
 {
 	struct found_end *end;
 	struct found_job *found;
@@ -395,7 +395,10 @@
 		HASH_ADD_STR(pool->found, job, found);
 	}
 	end = talloc_zero(found, struct found_end);
-	snprintf(end->task, sizeof(end->task), "%s", task);
+	snprintf(end->task, sizeof(end->task), "%s", row->task);
+	end->number = row->number;
+	end->how = row->how;
+	end->read_ms = now_ms;
 	LIST_INSERT_HEAD(&found->ends, end, entry);
 }
 
@@ -411,10 +414,18 @@
 	char job[STEP_JOB_ID_BYTES];
 
 	copy_job_id(job, row->task);
-	if (!pool->options.found_done(pool->options.ctx, job, row->task,
-				      now_ms) &&
+	if (!pool->options.found_end(pool->options.ctx, job, row, now_ms,
+				     now_ms) &&
 	    keep)
-		keep_end(pool, job, row->task, now_ms);
+		keep_end(pool, job, row, now_ms);
+}
+
+static bool counts_for_task(enum pool_end how)
+{
+#ifdef BREAK_FOUND_FAILED
+	return how == POOL_DONE;
+#endif
+	return how == POOL_DONE || how == POOL_FAILED;
 }
 
 static void apply_ended(struct lease_pool *pool, struct pool_worker *worker,
@@ -422,7 +433,7 @@
 {
 	struct pool_run *run = pool_find_run(worker, row->task, row->number);
 
-	bool offered = row->how == POOL_DONE && !(run && run->task);
+	bool offered = counts_for_task(row->how) && !(run && run->task);
 	bool foreign = !run || !run->started_here;
 
 	if (row->number_of_end <= worker->ends_read)
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -670,9 +670,16 @@
 	if (!found)
 		return;
 	HASH_DEL(pool->found, found);
-	LIST_FOREACH(end, &found->ends, entry)
-		pool->options.found_done(pool->options.ctx, job, end->task,
-					 now_ms);
+	LIST_FOREACH(end, &found->ends, entry) {
+		struct pool_listed_end row = {
+			.task = end->task,
+			.number = end->number,
+			.how = end->how,
+		};
+
+		pool->options.found_end(pool->options.ctx, job, &row,
+					end->read_ms, now_ms);
+	}
 	talloc_free(found);
 }
 
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -19,10 +19,13 @@
 #define POOL_FOREIGN_RETRY_MS 1000
 #define POOL_LAPSE_SLACK_MS 30 /* for a late timer and a message in flight */
 
-/* An end as done that was found on a worker. */
+/* An end as done or failed that was found on a worker. */
 struct found_end {
 	LIST_ENTRY(found_end) entry;
 	char task[STEP_JOB_TASK_BYTES];
+	uint32_t number;
+	enum pool_end how;
+	uint64_t read_ms;
 };
 
 /* Ends that were found of a job which has not been submitted to us yet. */
--- a/packages/core/tests/fake_orders.c
+++ b/packages/core/tests/fake_orders.c
@@ -53,6 +53,18 @@
 	fake->answers[fake->answer_count++ % FAKE_ORDERS_MAX] = *answer;
 }
 
+static void record_failed(void *ctx, const struct lease_failures *failures)
+{
+	struct fake_orders *fake = ctx;
+
+	fake->failed_told++;
+	if (fake->failed.attempt != failures->runs.attempt)
+		fake->failed.count = 0;
+	fake->failed.attempt = failures->runs.attempt;
+	for (uint32_t i = 0; i < failures->runs.count; i++)
+		failed_runs_add(fake, &fake->failed, &failures->runs.rows[i]);
+}
+
 struct fake_orders *fake_orders_create(void)
 {
 	struct fake_orders *fake = talloc_zero(NULL, struct fake_orders);
@@ -66,6 +78,7 @@
 		.admission = true,
 		.seed = 1,
 		.answer = record_answer,
+		.failed = record_failed,
 		.ctx = fake,
 	};
 
--- a/packages/core/tests/fake_orders.h
+++ b/packages/core/tests/fake_orders.h
@@ -48,6 +48,8 @@
 	size_t stop_count;
 	struct lease_answer answers[FAKE_ORDERS_MAX];
 	size_t answer_count;
+	struct failed_runs failed; /* of all jobs, as entries were told */
+	uint32_t failed_told; /* number of calls */
 	uint64_t now_ms;
 	struct fake_orders_restarted restarted[FAKE_ORDERS_MAX_RESTARTED];
 };
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -28,6 +28,9 @@
 static bool answered[4];
 static uint32_t sent_jobs;
 static uint32_t sent_handed[4]; /* earlier leaders, by request */
+static uint32_t sent_failed; /* of the last job, as sent with it */
+static uint32_t sent_number; /* of the run that is the first of them */
+static uint64_t sent_attempt;
 static uint32_t cancels; /* of any job, sent to LEADER + 1 */
 static uint64_t now_ms;
 
@@ -48,6 +51,9 @@
 		return;
 	sent_jobs++;
 	sent_handed[msg->queue_job->request] = msg->queue_job->handed;
+	sent_failed = (uint32_t)msg->queue_job->n_failed;
+	sent_number = sent_failed ? msg->queue_job->failed[0]->run : 0;
+	sent_attempt = msg->queue_job->attempt;
 }
 
 static uint64_t port_wall_ms(void *ctx)
@@ -309,15 +315,127 @@
 }
 END_TEST
 
+#define JOB_1_ID "bbbbbbbbbbbbbbbb"
+#define ATTEMPT 77
+
+/* A leader's note of a failed run of job 1. */
+struct failure {
+	uint64_t from;
+	const char *id;
+	uint64_t attempt;
+	uint32_t step, index, run;
+};
+
+static void receive_failure(const struct failure *failure)
+{
+	Bergamot__FailedRun row = BERGAMOT__FAILED_RUN__INIT;
+	Bergamot__FailedRun *rows[] = { &row };
+	Bergamot__QueueJobFailures msg = BERGAMOT__QUEUE_JOB_FAILURES__INIT;
+	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
+
+	row.step = failure->step;
+	row.index = failure->index;
+	row.run = failure->run;
+	msg.request = 1;
+	msg.id = (char *)failure->id;
+	msg.attempt = failure->attempt;
+	msg.failed = rows;
+	msg.n_failed = 1;
+	peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB_FAILURES;
+	peer.queue_job_failures = &msg;
+	lease_node_peer_message(node, failure->from, &peer, now_ms);
+}
+
+/* Submits job 1 to LEADER. */
+static void submit_to_leader(void)
+{
+	link_member(LEADER, "leader");
+	link_member(LEADER + 1, "next");
+	receive_beat(LEADER, 5);
+	advance(TICK_MS);
+	submit(1, LONG_MS);
+	ck_assert_uint_eq(sent_jobs, 1);
+}
+
+/* LEADER + 1 leads and is sent the job. */
+static void change_leader(void)
+{
+	advance(700);
+	receive_beat(LEADER + 1, 6);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 2);
+}
+
+START_TEST(test_failed_runs_are_handed_on)
+{
+	static const struct failure failure = { LEADER, JOB_1_ID, ATTEMPT,
+						0,	0,	  1 };
+
+	submit_to_leader();
+	ck_assert_uint_eq(sent_failed, 0);
+	receive_failure(&failure);
+	receive_failure(&failure);
+	change_leader();
+	ck_assert_uint_eq(sent_failed, 1);
+	ck_assert_uint_eq(sent_number, 1);
+	ck_assert_uint_eq(sent_attempt, ATTEMPT);
+}
+END_TEST
+
+/* Only those of the attempt that the leader has told of last. */
+START_TEST(test_failed_runs_of_an_earlier_attempt_are_not_handed_on)
+{
+	static const struct failure failures[] = {
+		{ LEADER, JOB_1_ID, ATTEMPT, 0, 0, 1 },
+		{ LEADER, JOB_1_ID, ATTEMPT + 1, 0, 0, 2 },
+	};
+
+	submit_to_leader();
+	receive_failure(&failures[0]);
+	receive_failure(&failures[1]);
+	change_leader();
+	ck_assert_uint_eq(sent_failed, 1);
+	ck_assert_uint_eq(sent_number, 2);
+	ck_assert_uint_eq(sent_attempt, ATTEMPT + 1);
+}
+END_TEST
+
+START_TEST(test_damaged_failed_run_is_dropped)
+{
+	static const struct failure damaged[] = {
+		{ LEADER + 1, JOB_1_ID, ATTEMPT, 0, 0, 1 },
+		{ LEADER, "cccccccccccccccc", ATTEMPT, 0, 0, 1 },
+		{ LEADER, "x", ATTEMPT, 0, 0, 1 },
+		{ LEADER, JOB_1_ID, 0, 0, 0, 1 },
+		{ LEADER, JOB_1_ID, ATTEMPT, 1, 0, 1 },
+		{ LEADER, JOB_1_ID, ATTEMPT, 0, 1, 1 },
+		{ LEADER, JOB_1_ID, ATTEMPT, UINT32_MAX, UINT32_MAX, 1 },
+		{ LEADER, JOB_1_ID, ATTEMPT, 0, 0, 0 },
+		{ LEADER, JOB_1_ID, ATTEMPT, 0, 0, UINT32_MAX },
+	};
+
+	submit_to_leader();
+	for (size_t i = 0; i < sizeof(damaged) / sizeof(damaged[0]); i++)
+		receive_failure(&damaged[i]);
+	change_leader();
+	ck_assert_uint_eq(sent_failed, 0);
+	ck_assert_uint_eq(sent_attempt, 0);
+}
+END_TEST
+
 int main(void)
 {
-	return RUN_CASE("lease_node_entry", set_up, tear_down,
-			test_useless_jobs_are_refused_at_once,
-			test_job_of_a_lost_leader_waits,
-			test_jobs_are_not_sent_to_a_quiet_leader,
-			test_jobs_are_sent_when_beats_come_again,
-			test_jobs_are_sent_after_a_beat_over_the_new_link,
-			test_next_leader_keeps_a_job_that_the_former_one_ended,
-			test_leader_is_told_of_an_end_once_for_each_link,
-			test_next_leader_is_told_of_a_job_that_ended_long_ago);
+	return RUN_CASE(
+		"lease_node_entry", set_up, tear_down,
+		test_useless_jobs_are_refused_at_once,
+		test_job_of_a_lost_leader_waits,
+		test_jobs_are_not_sent_to_a_quiet_leader,
+		test_jobs_are_sent_when_beats_come_again,
+		test_jobs_are_sent_after_a_beat_over_the_new_link,
+		test_next_leader_keeps_a_job_that_the_former_one_ended,
+		test_leader_is_told_of_an_end_once_for_each_link,
+		test_next_leader_is_told_of_a_job_that_ended_long_ago,
+		test_failed_runs_are_handed_on,
+		test_failed_runs_of_an_earlier_attempt_are_not_handed_on,
+		test_damaged_failed_run_is_dropped);
 }
--- a/packages/core/tests/test_lease_relay.c
+++ b/packages/core/tests/test_lease_relay.c
@@ -131,12 +131,14 @@
 	return false;
 }
 
-static bool found_done(void *ctx, const char *job, const char *task,
-		       uint64_t when_ms)
+static bool found_end(void *ctx, const char *job,
+		      const struct pool_listed_end *end, uint64_t read_ms,
+		      uint64_t when_ms)
 {
 	(void)ctx;
 	(void)job;
-	(void)task;
+	(void)end;
+	(void)read_ms;
 	(void)when_ms;
 	return false;
 }
@@ -182,7 +184,7 @@
 		.stop_ms = 50,
 		.closed = closed,
 		.found_run = found_run,
-		.found_done = found_done,
+		.found_end = found_end,
 	};
 
 	now_ms = 100000;
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &bergamot__queue_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bergamot__failed_run__init
+                     (Bergamot__FailedRun         *message)
+{
+  static const Bergamot__FailedRun init_value = BERGAMOT__FAILED_RUN__INIT;
+  *message = init_value;
+}
+size_t bergamot__failed_run__get_packed_size
+                     (const Bergamot__FailedRun *message)
+{
+  assert(message->base.descriptor == &bergamot__failed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__failed_run__pack
+                     (const Bergamot__FailedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__failed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__failed_run__pack_to_buffer
+                     (const Bergamot__FailedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__failed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__FailedRun *
+       bergamot__failed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__FailedRun *)
+     protobuf_c_message_unpack (&bergamot__failed_run__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__failed_run__free_unpacked
+                     (Bergamot__FailedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__failed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bergamot__queue_job_failures__init
+                     (Bergamot__QueueJobFailures         *message)
+{
+  static const Bergamot__QueueJobFailures init_value = BERGAMOT__QUEUE_JOB_FAILURES__INIT;
+  *message = init_value;
+}
+size_t bergamot__queue_job_failures__get_packed_size
+                     (const Bergamot__QueueJobFailures *message)
+{
+  assert(message->base.descriptor == &bergamot__queue_job_failures__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bergamot__queue_job_failures__pack
+                     (const Bergamot__QueueJobFailures *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bergamot__queue_job_failures__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bergamot__queue_job_failures__pack_to_buffer
+                     (const Bergamot__QueueJobFailures *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bergamot__queue_job_failures__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bergamot__QueueJobFailures *
+       bergamot__queue_job_failures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bergamot__QueueJobFailures *)
+     protobuf_c_message_unpack (&bergamot__queue_job_failures__descriptor,
+                                allocator, len, data);
+}
+void   bergamot__queue_job_failures__free_unpacked
+                     (Bergamot__QueueJobFailures *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bergamot__queue_job_failures__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bergamot__queue_job_end__init
                      (Bergamot__QueueJobEnd         *message)
 {
@@ -3565,7 +3655,7 @@
   (ProtobufCMessageInit) bergamot__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[16] =
 {
   {
     "request",
@@ -3735,11 +3825,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJob, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__QueueJob, n_failed),
+    offsetof(Bergamot__QueueJob, failed),
+    &bergamot__failed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__queue_job__field_indices_by_name[] = {
   8,   /* field[8] = age_ms */
+  14,   /* field[14] = attempt */
   5,   /* field[5] = attempts */
   10,   /* field[10] = closed_in_ms */
+  15,   /* field[15] = failed */
   9,   /* field[9] = handed */
   1,   /* field[1] = id */
   13,   /* field[13] = no_start_in_ms */
@@ -3755,7 +3871,7 @@
 static const ProtobufCIntRange bergamot__queue_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor bergamot__queue_job__descriptor =
 {
@@ -3765,13 +3881,154 @@
   "Bergamot__QueueJob",
   "bergamot",
   sizeof(Bergamot__QueueJob),
-  14,
+  16,
   bergamot__queue_job__field_descriptors,
   bergamot__queue_job__field_indices_by_name,
   1,  bergamot__queue_job__number_ranges,
   (ProtobufCMessageInit) bergamot__queue_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bergamot__failed_run__field_descriptors[3] =
+{
+  {
+    "step",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__FailedRun, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__FailedRun, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__FailedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__failed_run__field_indices_by_name[] = {
+  1,   /* field[1] = index */
+  2,   /* field[2] = run */
+  0,   /* field[0] = step */
+};
+static const ProtobufCIntRange bergamot__failed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bergamot__failed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.FailedRun",
+  "FailedRun",
+  "Bergamot__FailedRun",
+  "bergamot",
+  sizeof(Bergamot__FailedRun),
+  3,
+  bergamot__failed_run__field_descriptors,
+  bergamot__failed_run__field_indices_by_name,
+  1,  bergamot__failed_run__number_ranges,
+  (ProtobufCMessageInit) bergamot__failed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bergamot__queue_job_failures__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJobFailures, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJobFailures, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__QueueJobFailures, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__QueueJobFailures, n_failed),
+    offsetof(Bergamot__QueueJobFailures, failed),
+    &bergamot__failed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bergamot__queue_job_failures__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  3,   /* field[3] = failed */
+  1,   /* field[1] = id */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange bergamot__queue_job_failures__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bergamot__queue_job_failures__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bergamot.QueueJobFailures",
+  "QueueJobFailures",
+  "Bergamot__QueueJobFailures",
+  "bergamot",
+  sizeof(Bergamot__QueueJobFailures),
+  4,
+  bergamot__queue_job_failures__field_descriptors,
+  bergamot__queue_job_failures__field_indices_by_name,
+  1,  bergamot__queue_job_failures__number_ranges,
+  (ProtobufCMessageInit) bergamot__queue_job_failures__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bergamot__queue_job_end__field_descriptors[5] =
 {
   {
@@ -5005,7 +5262,7 @@
   (ProtobufCMessageInit) bergamot__late_starts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[20] =
+static const ProtobufCFieldDescriptor bergamot__peer__field_descriptors[21] =
 {
   {
     "hello",
@@ -5247,6 +5504,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_job_failures",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bergamot__Peer, body_case),
+    offsetof(Bergamot__Peer, queue_job_failures),
+    &bergamot__queue_job_failures__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__peer__field_indices_by_name[] = {
   11,   /* field[11] = config_ask */
@@ -5266,6 +5535,7 @@
   12,   /* field[12] = queue_job */
   14,   /* field[14] = queue_job_cancel */
   13,   /* field[13] = queue_job_end */
+  20,   /* field[20] = queue_job_failures */
   6,   /* field[6] = role_state */
   17,   /* field[17] = worker_answers */
   16,   /* field[16] = worker_orders */
@@ -5274,7 +5544,7 @@
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor bergamot__peer__descriptor =
 {
@@ -5284,7 +5554,7 @@
   "Bergamot__Peer",
   "bergamot",
   sizeof(Bergamot__Peer),
-  20,
+  21,
   bergamot__peer__field_descriptors,
   bergamot__peer__field_indices_by_name,
   2,  bergamot__peer__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Bergamot__ConfigAsk Bergamot__ConfigAsk;
 typedef struct Bergamot__JobStep Bergamot__JobStep;
 typedef struct Bergamot__QueueJob Bergamot__QueueJob;
+typedef struct Bergamot__FailedRun Bergamot__FailedRun;
+typedef struct Bergamot__QueueJobFailures Bergamot__QueueJobFailures;
 typedef struct Bergamot__QueueJobEnd Bergamot__QueueJobEnd;
 typedef struct Bergamot__QueueJobCancel Bergamot__QueueJobCancel;
 typedef struct Bergamot__QueueWaiting Bergamot__QueueWaiting;
@@ -516,10 +518,53 @@
    * on a worker that joins, unless it has received the cancel.
    */
   uint32_t no_start_in_ms;
+  /*
+   * Runs that ended as failed under these leaders, and the attempt that they
+   * belong to; 0: none is known.
+   */
+  uint64_t attempt;
+  size_t n_failed;
+  Bergamot__FailedRun **failed;
 };
 #define BERGAMOT__QUEUE_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__queue_job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0,NULL }
+
+
+/*
+ * Run number of a task that has ended as failed.
+ */
+struct  Bergamot__FailedRun
+{
+  ProtobufCMessage base;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+};
+#define BERGAMOT__FAILED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__failed_run__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Such runs of a job, from the leader to the entries that wait for it, as it
+ * learns of them. Ignored by older members.
+ */
+struct  Bergamot__QueueJobFailures
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  char *id;
+  /*
+   * Differs once the caller has sent the job again and it began anew.
+   */
+  uint64_t attempt;
+  size_t n_failed;
+  Bergamot__FailedRun **failed;
+};
+#define BERGAMOT__QUEUE_JOB_FAILURES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bergamot__queue_job_failures__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 struct  Bergamot__QueueJobEnd
@@ -854,7 +899,8 @@
   BERGAMOT__PEER__BODY_WORKER_ORDERS = 17,
   BERGAMOT__PEER__BODY_WORKER_ANSWERS = 18,
   BERGAMOT__PEER__BODY_CRASH_RECORDS = 20,
-  BERGAMOT__PEER__BODY_LATE_STARTS = 21
+  BERGAMOT__PEER__BODY_LATE_STARTS = 21,
+  BERGAMOT__PEER__BODY_QUEUE_JOB_FAILURES = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BERGAMOT__PEER__BODY__CASE)
 } Bergamot__Peer__BodyCase;
 
@@ -883,6 +929,7 @@
     Bergamot__WorkerAnswers *worker_answers;
     Bergamot__CrashRecords *crash_records;
     Bergamot__LateStarts *late_starts;
+    Bergamot__QueueJobFailures *queue_job_failures;
   };
 };
 #define BERGAMOT__PEER__INIT \
@@ -1327,6 +1374,44 @@
 void   bergamot__queue_job__free_unpacked
                      (Bergamot__QueueJob *message,
                       ProtobufCAllocator *allocator);
+/* Bergamot__FailedRun methods */
+void   bergamot__failed_run__init
+                     (Bergamot__FailedRun         *message);
+size_t bergamot__failed_run__get_packed_size
+                     (const Bergamot__FailedRun   *message);
+size_t bergamot__failed_run__pack
+                     (const Bergamot__FailedRun   *message,
+                      uint8_t             *out);
+size_t bergamot__failed_run__pack_to_buffer
+                     (const Bergamot__FailedRun   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__FailedRun *
+       bergamot__failed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__failed_run__free_unpacked
+                     (Bergamot__FailedRun *message,
+                      ProtobufCAllocator *allocator);
+/* Bergamot__QueueJobFailures methods */
+void   bergamot__queue_job_failures__init
+                     (Bergamot__QueueJobFailures         *message);
+size_t bergamot__queue_job_failures__get_packed_size
+                     (const Bergamot__QueueJobFailures   *message);
+size_t bergamot__queue_job_failures__pack
+                     (const Bergamot__QueueJobFailures   *message,
+                      uint8_t             *out);
+size_t bergamot__queue_job_failures__pack_to_buffer
+                     (const Bergamot__QueueJobFailures   *message,
+                      ProtobufCBuffer     *buffer);
+Bergamot__QueueJobFailures *
+       bergamot__queue_job_failures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bergamot__queue_job_failures__free_unpacked
+                     (Bergamot__QueueJobFailures *message,
+                      ProtobufCAllocator *allocator);
 /* Bergamot__QueueJobEnd methods */
 void   bergamot__queue_job_end__init
                      (Bergamot__QueueJobEnd         *message);
@@ -1702,6 +1787,12 @@
 typedef void (*Bergamot__QueueJob_Closure)
                  (const Bergamot__QueueJob *message,
                   void *closure_data);
+typedef void (*Bergamot__FailedRun_Closure)
+                 (const Bergamot__FailedRun *message,
+                  void *closure_data);
+typedef void (*Bergamot__QueueJobFailures_Closure)
+                 (const Bergamot__QueueJobFailures *message,
+                  void *closure_data);
 typedef void (*Bergamot__QueueJobEnd_Closure)
                  (const Bergamot__QueueJobEnd *message,
                   void *closure_data);
@@ -1783,6 +1874,8 @@
 extern const ProtobufCMessageDescriptor bergamot__config_ask__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__job_step__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__queue_job__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__failed_run__descriptor;
+extern const ProtobufCMessageDescriptor bergamot__queue_job_failures__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__queue_job_end__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__queue_job_cancel__descriptor;
 extern const ProtobufCMessageDescriptor bergamot__queue_waiting__descriptor;
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -319,6 +319,30 @@
 	}
 }
 
+static void fill_failed(struct input *in, Bergamot__FailedRun ***rows,
+			size_t *count)
+{
+	*count = next_byte(in) % MAX_ROWS;
+	*rows = talloc_array(mem, Bergamot__FailedRun *, MAX_ROWS);
+	for (size_t i = 0; i < *count; i++) {
+		Bergamot__FailedRun *row = talloc(mem, Bergamot__FailedRun);
+
+		bergamot__failed_run__init(row);
+		row->step = (uint32_t)next_number(in);
+		row->index = (uint32_t)next_number(in);
+		row->run = (uint32_t)next_number(in);
+		(*rows)[i] = row;
+	}
+}
+
+static void fill_failures(struct input *in, Bergamot__QueueJobFailures *msg)
+{
+	msg->request = next_byte(in);
+	msg->id = next_text(in);
+	msg->attempt = next_number(in);
+	fill_failed(in, &msg->failed, &msg->n_failed);
+}
+
 static void receive(struct input *in, uint8_t kind)
 {
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -330,6 +354,8 @@
 	Bergamot__WorkerAnswers answers = BERGAMOT__WORKER_ANSWERS__INIT;
 	Bergamot__CrashRecords crashes = BERGAMOT__CRASH_RECORDS__INIT;
 	Bergamot__LateStarts late = BERGAMOT__LATE_STARTS__INIT;
+	Bergamot__QueueJobFailures failures =
+		BERGAMOT__QUEUE_JOB_FAILURES__INIT;
 	uint64_t from = 1 + next_byte(in) % MEMBERS;
 
 	switch (kind) {
@@ -369,6 +395,19 @@
 		peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 		peer.late_starts = &late;
 		break;
+	case 11:
+		fill_failures(in, &failures);
+		peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB_FAILURES;
+		peer.queue_job_failures = &failures;
+		break;
+	case 12:
+		fill_job(in, &job);
+		job.handed = 1 + next_byte(in) % 4;
+		job.attempt = next_number(in);
+		fill_failed(in, &job.failed, &job.n_failed);
+		peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB;
+		peer.queue_job = &job;
+		break;
 	default:
 		fill_answers(in, &answers);
 		peer.body_case = BERGAMOT__PEER__BODY_WORKER_ANSWERS;
@@ -477,7 +516,7 @@
 	if (next_byte(&in) & 1)
 		advance(4000); /* it leads then */
 	while (in.len) {
-		uint8_t kind = next_byte(&in) % 11;
+		uint8_t kind = next_byte(&in) % 13;
 
 		if (kind < 6 || kind >= 9)
 			receive(&in, kind);
