--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -28,7 +28,9 @@
 #define FAULT_MS 3000 /* mean duration */
 #define LOST_ANSWER_PERCENT 3
 #define LATE_ORDER_PERCENT 3
-#define MAX_ORDER_DELAY_MS 6000
+#define MIN_ORDER_DELAY_MS 2000
+#define MAX_ORDER_DELAY_MS 8000
+#define MAX_GRANT_DELAY_MS 12000 /* with late_grants */
 #define DEADLINE_MS 4000
 #define SETTLE_MS 12000 /* without faults, at the end */
 #define DIAL_PERIOD_MS 500
@@ -188,6 +190,7 @@
 	uint32_t number;
 	uint64_t fence;
 	uint64_t deadline_ms;
+	uint64_t moved_ms; /* its deadline, as it counts from the arrival */
 	uint64_t ends_read;
 	uint32_t wait_ms;
 	uint64_t timeout_ms; /* then its sender gives it up */
@@ -476,6 +479,15 @@
 	end_call(node, kind, worker, token, POOL_NO_ANSWER, delay_ms);
 }
 
+static uint64_t late_order_ms(struct site *site)
+{
+	uint64_t longest_ms = site->options->late_grants ? MAX_GRANT_DELAY_MS
+							 : MAX_ORDER_DELAY_MS;
+
+	return MIN_ORDER_DELAY_MS +
+	       random_below(&site->random, longest_ms - MIN_ORDER_DELAY_MS);
+}
+
 static struct event *send_order(struct node *node, enum order_kind kind,
 				const char *worker, uint64_t token,
 				uint64_t fence, uint32_t timeout_ms)
@@ -483,14 +495,18 @@
 	struct site *site = node->site;
 	int index = (int)strtol(worker + 1, NULL, 10);
 	bool cut = site->worker_cut_until_ms[node->index][index] > site->now_ms;
-	bool late = is_order_harmed(site, LATE_ORDER_PERCENT);
+	bool late = is_order_harmed(site, site->options->late_percent
+						  ? site->options->late_percent
+						  : LATE_ORDER_PERCENT);
 	uint64_t delay_ms = NETWORK_MS;
 	struct event *event;
 
 	if (late)
-		delay_ms =
-			2000 + random_below(&site->random, MAX_ORDER_DELAY_MS);
+		delay_ms = late_order_ms(site);
 	event = schedule_event(site, EV_ORDER, delay_ms);
+	if (late && site->options->late_grants &&
+	    random_below(&site->random, 2))
+		event->moved_ms = delay_ms;
 	event->order = kind;
 	event->node = node->index;
 	event->incarnation = node->incarnation;
@@ -505,6 +521,12 @@
 	return event;
 }
 
+/* A hold without a deadline grants nothing. */
+static void set_deadline(struct event *event, uint64_t deadline_ms)
+{
+	event->deadline_ms = deadline_ms ? deadline_ms + event->moved_ms : 0;
+}
+
 static void port_hold(void *ctx, const struct pool_hold_call *call)
 {
 	struct event *event =
@@ -512,7 +534,7 @@
 			   call->fence, call->timeout_ms);
 
 	event->ends_read = call->ends_read;
-	event->deadline_ms = call->deadline_ms;
+	set_deadline(event, call->deadline_ms);
 	event->wait_ms = call->wait_ms;
 }
 
@@ -552,7 +574,7 @@
 		send_order(ctx, ORDER_START, call->worker, call->token,
 			   call->fence, call->timeout_ms);
 
-	event->deadline_ms = call->deadline_ms;
+	set_deadline(event, call->deadline_ms);
 	event->number = call->number;
 	snprintf(event->task, sizeof(event->task), "%s", call->task);
 	check_drain(ctx, call);
@@ -725,6 +747,8 @@
 
 	if (e->deadline_ms <= clock_of(site, w))
 		return POOL_DEADLINE_PASSED;
+	if (site->options->late_grants)
+		prolong_lease(site, w, e->deadline_ms); /* also if refused */
 	for (size_t i = 0; i < w->run_count; i++)
 		if (w->runs[i].number == e->number &&
 		    !strcmp(w->runs[i].task, e->task))
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -50,6 +50,12 @@
 	bool worker_clocks;
 	/* The connections of a worker that crashes are closed, if not cut. */
 	bool worker_closes;
+	/*
+	 * Late orders are late by 2 to 12 s, otherwise by 2 to 8 s, and half of
+	 * them have their deadline moved by that: it counts from the arrival.
+	 */
+	bool late_grants;
+	uint32_t late_percent; /* of orders that are late; 0: 3 */
 	/* No order is carried out late, and no answer is lost but by cuts. */
 	bool answers_arrive;
 	/*
