core/tests: workers that only some instances reach, on a site

With partial_cuts one of the faults is that 30% of the workers lose 40% of their paths to instances: wholly, for answers only, or three packets in ten. TCP sends a lost packet again after 0.2 s, 0.4 s and so on; that is beyond an order's timeout, so an order over such a path is carried out up to 3 s later without an answer, or its answer is lost.

--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -63,6 +63,12 @@
 #define CUT_OFF_MS 4000
 #define MAX_CRASHES 16 /* that are kept of a task */
 #define CRASH_CHECK_MS 50 /* between two checks of leaders' records */
+/* Some workers lose, or have harmed, the path to some instances. */
+#define HARMED_WORKERS_PERCENT 30
+#define HARMED_PATHS_PERCENT 40
+#define LOST_PACKETS_PERCENT 30
+#define FIRST_RETRANSMIT_MS 200 /* each further one comes twice as late */
+#define LAST_RETRANSMIT_MS 1600
 /* Time from a restart behind a cut to the end of the cut. */
 #define REBORN_BEFORE_MS 100
 
@@ -242,6 +248,10 @@
 	/* Until when links are cut. */
 	uint64_t cut_until_ms[MAX_NODES][MAX_NODES];
 	uint64_t worker_cut_until_ms[MAX_NODES][MAX_WORKERS];
+	/* Until when packets are lost in both directions, with partial_cuts. */
+	uint64_t lossy_until_ms[MAX_NODES][MAX_WORKERS];
+	/* Until when answers do not arrive, but orders do. */
+	uint64_t mute_until_ms[MAX_NODES][MAX_WORKERS];
 	struct event_list events[EVENT_SLOTS]; /* by due_ms */
 	struct job *jobs;
 	struct request *requests;
@@ -479,6 +489,27 @@
 	end_call(node, kind, worker, token, POOL_NO_ANSWER, delay_ms);
 }
 
+static bool is_lossy(const struct site *site, int node, const struct worker *w)
+{
+	return site->lossy_until_ms[node][w - site->workers] > site->now_ms;
+}
+
+/* The time that TCP needs to send lost packets again; 0: nothing is lost. */
+static uint64_t retransmit_ms(struct site *site, int node,
+			      const struct worker *w)
+{
+	uint64_t delay_ms = 0;
+
+	if (!is_lossy(site, node, w))
+		return 0;
+	for (uint64_t wait_ms = FIRST_RETRANSMIT_MS;
+	     wait_ms <= LAST_RETRANSMIT_MS &&
+	     random_below(&site->random, 100) < LOST_PACKETS_PERCENT;
+	     wait_ms *= 2)
+		delay_ms += wait_ms;
+	return delay_ms;
+}
+
 static uint64_t late_order_ms(struct site *site)
 {
 	uint64_t longest_ms = site->options->late_grants ? MAX_GRANT_DELAY_MS
@@ -498,7 +529,9 @@
 	bool late = is_order_harmed(site, site->options->late_percent
 						  ? site->options->late_percent
 						  : LATE_ORDER_PERCENT);
-	uint64_t delay_ms = NETWORK_MS;
+	bool mute = site->mute_until_ms[node->index][index] > site->now_ms;
+	uint64_t delay_ms = NETWORK_MS + retransmit_ms(site, node->index,
+						       &site->workers[index]);
 	struct event *event;
 
 	if (late)
@@ -514,8 +547,8 @@
 	event->token = token;
 	event->fence = fence;
 	event->timeout_ms = site->now_ms + timeout_ms;
-	event->unanswered =
-		late || cut || is_order_harmed(site, LOST_ANSWER_PERCENT);
+	event->unanswered = late || cut || mute || delay_ms > timeout_ms ||
+			    is_order_harmed(site, LOST_ANSWER_PERCENT);
 	if (event->unanswered)
 		time_out(node, kind, &site->workers[index], token, timeout_ms);
 	return event;
@@ -850,18 +883,27 @@
 	hold->after = e->ends_read;
 	hold->until_ms = site->now_ms + e->wait_ms;
 	hold->timeout_ms = e->timeout_ms;
+	if (hold->until_ms > hold->timeout_ms)
+		hold->until_ms = hold->timeout_ms; /* over a lossy path */
 }
 
 static void reply_later(struct site *site, const struct event *e,
 			enum pool_answer answer)
 {
+	uint64_t delay_ms = NETWORK_MS;
 	struct event *reply;
 
 	if (e->unanswered)
 		return;
+	delay_ms += retransmit_ms(site, e->node, e->worker);
+	if (site->now_ms + delay_ms > e->timeout_ms) {
+		time_out(&site->nodes[e->node], e->order, e->worker, e->token,
+			 e->timeout_ms - site->now_ms);
+		return;
+	}
 	reply = schedule_event(
 		site, e->order == ORDER_HOLD ? EV_HOLD_REPLY : EV_REPLY,
-		NETWORK_MS);
+		delay_ms);
 	reply->order = e->order;
 	reply->node = e->node;
 	reply->incarnation = e->incarnation;
@@ -913,6 +955,14 @@
 			 : 1);
 }
 
+/* Over a lossy path an answer that has to be sent again comes too late. */
+static bool is_answer_lost(struct site *site, const struct worker *w, int n)
+{
+	return is_lossy(site, n, w) &&
+	       (site->now_ms >= w->holds[n].timeout_ms ||
+		retransmit_ms(site, n, w));
+}
+
 static void answer_hold(struct site *site, struct worker *w, int n)
 {
 	struct hold *hold = &w->holds[n];
@@ -933,7 +983,8 @@
 						     w->ends[i].how };
 	hold->waits = false;
 	if (site->worker_cut_until_ms[n][w - site->workers] > site->now_ms ||
-	    !is_running(site, node)) {
+	    site->mute_until_ms[n][w - site->workers] > site->now_ms ||
+	    !is_running(site, node) || is_answer_lost(site, w, n)) {
 		lose_hold(site, w, n);
 		return;
 	}
@@ -1497,6 +1548,34 @@
 	site->worker_cut_until_ms[a][w] = fault_end_ms(site);
 }
 
+/*
+ * Some workers lose the path to some instances, while others reach them: in
+ * both directions, in that of their answers, or three packets in ten.
+ */
+static void harm_paths(struct site *site)
+{
+	uint64_t until_ms = fault_end_ms(site);
+	uint64_t how = random_below(&site->random, 3);
+
+	log_info(LOG_MAIN, "paths to workers harmed until %" PRIu64 " ms",
+		 until_ms);
+	for (uint32_t w = 0; w < site->options->workers; w++) {
+		if (random_below(&site->random, 100) >= HARMED_WORKERS_PERCENT)
+			continue;
+		for (uint32_t n = 0; n < site->options->instances; n++) {
+			if (random_below(&site->random, 100) >=
+			    HARMED_PATHS_PERCENT)
+				continue;
+			if (how == 0)
+				site->worker_cut_until_ms[n][w] = until_ms;
+			else if (how == 1)
+				site->mute_until_ms[n][w] = until_ms;
+			else
+				site->lossy_until_ms[n][w] = until_ms;
+		}
+	}
+}
+
 static struct node *pick_running_node(struct site *site)
 {
 	struct node *node = &site->nodes[random_below(
@@ -1686,16 +1765,20 @@
 		reset_callers, /* with more_resends */
 		resize_random_worker, /* with is_unguarded */
 		drain_worker, /* with late_reports */
+		harm_paths, /* with partial_cuts */
 	};
 	const struct fake_site_options *o = site->options;
-	size_t kind = random_below(&site->random,
-				   COMMON_FAULTS + o->more_resends +
-					   o->is_unguarded + o->late_reports);
+	size_t kind =
+		random_below(&site->random,
+			     COMMON_FAULTS + o->more_resends + o->is_unguarded +
+				     o->late_reports + o->partial_cuts);
 
 	if (kind >= COMMON_FAULTS && !o->more_resends)
 		kind++;
 	if (kind > COMMON_FAULTS && !o->is_unguarded)
 		kind++;
+	if (kind > COMMON_FAULTS + 1 && !o->late_reports)
+		kind++;
 
 	site->result->faults++;
 	log_info(LOG_MAIN, "at %" PRIu64 " ms: fault %zu", site->now_ms, kind);
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -56,6 +56,11 @@
 	 */
 	bool late_grants;
 	uint32_t late_percent; /* of orders that are late; 0: 3 */
+	/*
+	 * One of the faults is that some workers lose the path to some of the
+	 * instances: wholly, for answers only, or three packets in ten.
+	 */
+	bool partial_cuts;
 	/* No order is carried out late, and no answer is lost but by cuts. */
 	bool answers_arrive;
 	/*
