--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -31,6 +31,7 @@
 #define MIN_ORDER_DELAY_MS 2000
 #define MAX_ORDER_DELAY_MS 8000
 #define MAX_GRANT_DELAY_MS 12000 /* with late_grants */
+#define SLOW_CLOCK_PERCENT 98
 #define DEADLINE_MS 4000
 #define SETTLE_MS 12000 /* without faults, at the end */
 #define DIAL_PERIOD_MS 500
@@ -299,6 +300,17 @@
 			 what, subject, (unsigned long long)site->now_ms);
 }
 
+/* Returns how far the workers' clocks advance in a time. */
+static uint64_t worker_ms(const struct site *site, uint64_t ms)
+{
+	return site->options->slow_clocks ? ms * SLOW_CLOCK_PERCENT / 100 : ms;
+}
+
+static uint64_t clock_of(const struct site *site, const struct worker *w)
+{
+	return worker_ms(site, site->now_ms - w->clock_start_ms);
+}
+
 /* Events */
 
 static struct event *schedule_event(struct site *site, enum event_kind kind,
@@ -539,7 +551,7 @@
 	event = schedule_event(site, EV_ORDER, delay_ms);
 	if (late && site->options->late_grants &&
 	    random_below(&site->random, 2))
-		event->moved_ms = delay_ms;
+		event->moved_ms = worker_ms(site, delay_ms);
 	event->order = kind;
 	event->node = node->index;
 	event->incarnation = node->incarnation;
@@ -625,11 +637,6 @@
 
 /* Workers */
 
-static uint64_t clock_of(const struct site *site, const struct worker *w)
-{
-	return site->now_ms - w->clock_start_ms;
-}
-
 static struct seen_run *get_seen_run(struct worker *w, const char *task)
 {
 	struct seen_run *seen_run;
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -48,6 +48,7 @@
 	 * its earlier process have not expired; its connections are closed.
 	 */
 	bool worker_clocks;
+	bool slow_clocks; /* of all workers, by 2% */
 	/* The connections of a worker that crashes are closed, if not cut. */
 	bool worker_closes;
 	/*
--- a/packages/core/tests/test_lease_late_site.c
+++ b/packages/core/tests/test_lease_late_site.c
@@ -79,6 +79,7 @@
 
 PLAY(test_late_grants, .direct_workers = 0)
 PLAY(test_late_grants_with_relays, .direct_workers = 1)
+PLAY(test_late_grants_with_slow_clocks, .slow_clocks = true)
 /* Only some instances reach some of the workers. */
 PLAY(test_late_grants_and_partial_cuts, .partial_cuts = true)
 PLAY(test_late_grants_and_partial_cuts_with_relays, .partial_cuts = true,
@@ -103,6 +104,7 @@
 	const TTest *const plays[] = {
 		test_late_grants,
 		test_late_grants_with_relays,
+		test_late_grants_with_slow_clocks,
 		test_late_grants_and_partial_cuts,
 		test_late_grants_and_partial_cuts_with_relays,
 	};
