--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -48,8 +48,20 @@
 	 * its earlier process have not expired; its connections are closed.
 	 */
 	bool worker_clocks;
+	bool slow_clocks; /* of all workers, by 2% */
 	/* The connections of a worker that crashes are closed, if not cut. */
 	bool worker_closes;
+	/*
+	 * Late orders are late by 2 to 12 s, otherwise by 2 to 8 s, and half of
+	 * them have their deadline moved by that: it counts from the arrival.
+	 */
+	bool late_grants;
+	uint32_t late_percent; /* of orders that are late; 0: 3 */
+	/*
+	 * One of the faults is that some workers lose the path to some of the
+	 * instances: wholly, for answers only, or three packets in ten.
+	 */
+	bool partial_cuts;
 	/* No order is carried out late, and no answer is lost but by cuts. */
 	bool answers_arrive;
 	/*
