--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -1587,3 +1587,14 @@
 		talloc_free(play->nodes[i].lease_node);
 	talloc_free(play);
 }
+
+bool scenario_play_text(const char *text, struct scenario_result *result)
+{
+	struct scenario scenario;
+
+	if (!scenario_read(&scenario, text))
+		return false;
+	scenario.trace = getenv("BERGAMOT_SHOW") != NULL;
+	scenario_play(&scenario, result);
+	return true;
+}
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -105,6 +105,12 @@
 bool scenario_read(struct scenario *scenario, const char *text);
 void scenario_print(const struct scenario *scenario);
 
+/*
+ * Reads and plays a scenario, and prints what happens if BERGAMOT_SHOW is set.
+ * Returns false if it cannot be parsed.
+ */
+bool scenario_play_text(const char *text, struct scenario_result *result);
+
 /* Returns the word for a kind of fault. */
 const char *scenario_kind_text(enum scenario_kind kind);
 
--- a/packages/core/tests/test_lease_late_cut_off.c
+++ b/packages/core/tests/test_lease_late_cut_off.c
@@ -4,8 +4,6 @@
  *
  * BERGAMOT_SHOW prints what happens.
  */
-#include <stdlib.h>
-
 #include "base/tests/run_suite.h"
 #include "fake_scenario.h"
 
@@ -25,12 +23,9 @@
 
 START_TEST(test_two_runs_after_a_start_behind_a_cut)
 {
-	struct scenario scenario;
 	struct scenario_result result;
 
-	ck_assert(scenario_read(&scenario, orders[_i]));
-	scenario.trace = getenv("BERGAMOT_SHOW") != NULL;
-	scenario_play(&scenario, &result);
+	ck_assert(scenario_play_text(orders[_i], &result));
 	ck_assert(!result.without_effect);
 	ck_assert_msg(!result.two_runs, "%s: %s", orders[_i], result.text);
 }
--- a/packages/core/tests/test_lease_orders.c
+++ b/packages/core/tests/test_lease_orders.c
@@ -334,12 +334,9 @@
 
 static void check_one_run(const char *text)
 {
-	struct scenario scenario;
 	struct scenario_result result;
 
-	ck_assert(scenario_read(&scenario, text));
-	scenario.trace = getenv("BERGAMOT_SHOW") != NULL;
-	scenario_play(&scenario, &result);
+	ck_assert(scenario_play_text(text, &result));
 	ck_assert(!result.without_effect);
 	ck_assert_msg(!result.two_runs, "%s: %s", text, result.text);
 }
