core: remove late tasks with HASH_REMOVE

clang-tidy takes a task in the list of unsent ones for one that is not in the table, and uthash's own macro for a dereference of NULL. HASH_REMOVE is what the other tables use.

--- a/packages/core/late_task.c
+++ b/packages/core/late_task.c
@@ -50,7 +50,7 @@
 static void remove_task(struct late_tasks *late, struct late_task *task)
 {
 	set_unsent(late, task, false);
-	HASH_DEL(late->by_name, task);
+	HASH_REMOVE(late->by_name, task);
 	talloc_free(task);
 }
 
