--- a/packages/core/failed_runs.h
+++ b/packages/core/failed_runs.h
@@ -9,10 +9,10 @@
 #include "core/step_job.h"
 
 /*
- * The runs of a job's tasks that have ended as failed. The leader tells the
- * entries of them, which hand them on with the job to the next leader, so that
- * they count there. A run is known by its number: an end that is heard of
- * twice counts once.
+ * The runs of a job's tasks that have ended as failed. The leader sends them to
+ * the entries, which hand them on with the job to the next leader, so that they
+ * count there. A run is known by its number: an end that is reported twice
+ * counts once.
  */
 
 /* More failed runs of a job count at one leader only. */
--- a/packages/core/late_task.h
+++ b/packages/core/late_task.h
@@ -15,9 +15,9 @@
  * late, also the next process of a worker that restarts. Such a task waits
  * until that start can have begun no run that is still open.
  *
- * The leader tells the members that may lead next, as no other list shows such
- * a start. While its run is open at this instance, the pool handles the task,
- * and the table only keeps it for the others.
+ * The leader sends them to the members that may lead next, as no other list
+ * shows such a start. While its run is open at this instance, the pool handles
+ * the task, and the table only keeps it for the others.
  *
  * Not for the orders to a worker: see core/lease_pool_state.h.
  */
@@ -31,8 +31,9 @@
 	TAILQ_ENTRY(late_task) in_unsent; /* while is_unsent */
 	char name[STEP_JOB_TASK_BYTES];
 	uint64_t worker; /* key of the worker of the last start; 0: not ours */
-	uint64_t from; /* the member that told of it; see late_merge */
-	uint64_t until_ms; /* 0: no start is late, as members are to be told */
+	uint64_t from; /* incarnation of the member it came from, see late_merge
+			*/
+	uint64_t until_ms; /* 0: withdrawn, and not sent so far */
 	bool waits; /* else its run is open here */
 	bool is_unsent;
 	bool was_sent;
@@ -57,8 +58,8 @@
 void late_withdraw(struct late_tasks *late, const char *task);
 
 /*
- * The same as late_note for what another member tells, or late_withdraw if
- * until_ms is 0. What one member withdraws another one may still know of.
+ * The same as late_note for a task that another member has sent, or
+ * late_withdraw if until_ms is 0. A task of several members stays.
  */
 void late_merge(struct late_tasks *late, const char *task, uint64_t from,
 		uint64_t until_ms);
@@ -82,7 +83,7 @@
 /* The first task; the next ones follow in hh.next. NULL: none. */
 struct late_task *late_first(const struct late_tasks *late);
 
-/* The tasks that members are to be told of since late_mark_sent. */
+/* The tasks that have changed since late_mark_sent. */
 const struct late_task_list *late_unsent(const struct late_tasks *late);
 void late_mark_sent(struct late_tasks *late);
 
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -89,7 +89,7 @@
 struct lease_failures {
 	struct lease_waiter waiter;
 	const char *id;
-	struct failed_runs runs; /* none, some or all were told before */
+	struct failed_runs runs; /* the entry may have some of them */
 };
 
 /* Order of waiting jobs; is_before returns true if a starts before b. */
@@ -108,7 +108,7 @@
 	bool admission; /* refuse jobs that would end too late */
 	uint64_t seed; /* of the random part of retry_after_ms */
 	void (*answer)(void *ctx, const struct lease_answer *answer);
-	/* Tells a waiter's entry of failed runs. NULL: nobody is told. */
+	/* Sends failed runs to a waiter's entry. NULL: none are sent. */
 	void (*failed)(void *ctx, const struct lease_failures *failures);
 	/*
 	 * Reads what has changed in the list of workers; then
