core: one function tells when a start without an answer was sent

may_start_late and pool_note_late_task chose between the same two times on their own, and would have had to change together. An unused include of lease_node_late.c goes, and a comment names its subject.

--- a/packages/core/lease_node_late.c
+++ b/packages/core/lease_node_late.c
@@ -1,7 +1,6 @@
 #include "core/lease_node_state.h"
 
 #include <inttypes.h>
-#include <string.h>
 
 #include "base/log.h"
 #include "core/late_task.h"
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -491,7 +491,7 @@
  */
 uint64_t pool_late_until_ms(const struct lease_pool *pool, const char *task);
 
-/* Returns these tasks, to be told to other members. */
+/* Returns these tasks, which are sent to other members. */
 struct late_tasks *pool_late_tasks(struct lease_pool *pool);
 
 /* Calls found_run and found_end for what was found of a job, now known. */
--- a/packages/core/lease_pool_run.c
+++ b/packages/core/lease_pool_run.c
@@ -194,10 +194,16 @@
 	worker->speed += SPEED_WEIGHT * (speed - worker->speed);
 }
 
+/* Returns when the last start without an answer was sent; 0: there is none. */
+static uint64_t unanswered_start_ms(const struct pool_run *run)
+{
+	return run->answered_ms ? run->late_ms : run->sent_ms;
+}
+
 /* Returns true if a start of the run may yet be carried out late. */
 static bool may_start_late(const struct pool_run *run, uint64_t now_ms)
 {
-	uint64_t since_ms = run->answered_ms ? run->late_ms : run->sent_ms;
+	uint64_t since_ms = unanswered_start_ms(run);
 
 	return since_ms && now_ms - since_ms < POOL_LATEST_ORDER_MS;
 }
@@ -217,7 +223,7 @@
 void pool_note_late_task(struct lease_pool *pool, const struct pool_run *run,
 			 bool waits)
 {
-	uint64_t sent_ms = run->answered_ms ? run->late_ms : run->sent_ms;
+	uint64_t sent_ms = unanswered_start_ms(run);
 
 #ifdef BREAK_LATE_TASK
 	return;
