core: a new leader reads what all workers run before it starts a task (TWICE)

A job whose caller has sent it again started 2 ms after a new leader began, while a late start of its earlier attempt ran on another worker.

Cause: the leader that had sent that start could tell nobody of it. The next one sends holds to all workers when it begins, but a job that no leader has handed on did not wait for their answers: it started as soon as one worker had answered, in the ms in which the list with the run was on its way.

Now no task starts until each worker that the leader found, when it began or read the list of workers, has answered its first hold or obeys another leader; a worker with two unanswered holds is not waited for, none for longer than 0.3 s. One log line tells how long tasks waited, and for whom.

--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -523,12 +523,16 @@
 
 void pool_note_list_read(struct lease_pool *pool, uint64_t followed_ms)
 {
-	const struct pool_worker *worker;
+	struct pool_worker *worker;
 	uint32_t registered = 0, draining = 0;
 	bool is_anew = pool->list_followed_ms != 0;
+	uint64_t lists_until_ms = followed_ms + POOL_FIRST_LISTS_MS;
 
 	pool->list_followed_ms = followed_ms;
+	if (lists_until_ms > pool->first_lists_until_ms)
+		pool->first_lists_until_ms = lists_until_ms;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
+		worker->owes_first_list |= worker->state == POOL_UNHELD;
 		registered += worker->registered;
 		draining += worker->registered && worker->draining;
 	}
@@ -632,6 +636,44 @@
 	return false;
 }
 
+bool pool_awaits_first_lists(const struct lease_pool *pool, uint64_t now_ms)
+{
+	const struct pool_worker *worker;
+
+#ifdef BREAK_FIRST_LISTS
+	return false;
+#endif
+	if (now_ms >= pool->first_lists_until_ms)
+		return false;
+	TAILQ_FOREACH(worker, &pool->workers, entry)
+		if (worker->registered && worker->owes_first_list &&
+		    worker->failures < POOL_LOST_HOLDS)
+			return true;
+	return false;
+}
+
+/* Logs the end of the wait for first lists. */
+static void note_first_lists(struct lease_pool *pool, uint64_t now_ms)
+{
+	const struct pool_worker *worker, *silent = NULL;
+	uint32_t count = 0;
+
+	if (!pool->first_lists_until_ms ||
+	    pool_awaits_first_lists(pool, now_ms))
+		return;
+	TAILQ_FOREACH(worker, &pool->workers, entry)
+		if (worker->registered && worker->owes_first_list) {
+			silent = worker;
+			count++;
+		}
+	log_info(LOG_TARGET,
+		 "tasks start: waited %" PRIu64 " ms for the workers' first "
+		 "lists of runs; %u workers have not answered%s%s",
+		 now_ms + POOL_FIRST_LISTS_MS - pool->first_lists_until_ms,
+		 count, silent ? ", one is " : "", silent ? silent->id : "");
+	pool->first_lists_until_ms = 0;
+}
+
 uint64_t pool_longest_foreign_ms(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
@@ -693,6 +735,7 @@
 		worker->foreign_ms = now_ms;
 	}
 	worker->state = POOL_FOREIGN;
+	worker->owes_first_list = false;
 	worker->retry_ms = now_ms + POOL_FOREIGN_RETRY_MS;
 }
 
@@ -827,6 +870,8 @@
 	if (late_expire(pool->late_tasks, now_ms, extend_late_task, pool))
 		pool->room_version++;
 	pool_send_due_probes(pool, now_ms);
+	if (pool->fence)
+		note_first_lists(pool, now_ms);
 	for (; worker; worker = next) {
 		next = TAILQ_NEXT(worker, entry);
 		if (pool->fence && !late) {
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -123,6 +123,7 @@
 	uint64_t report_read_ms; /* when it was read first */
 	enum pool_hold_state state;
 	uint64_t foreign_ms; /* since when it obeys another instance */
+	bool owes_first_list; /* of its runs, since the leader found it */
 	bool hold_pending; /* a hold awaits its answer */
 	/* Holds that others replaced, and whose answers may be lost. */
 	uint32_t replaced_holds;
@@ -443,6 +444,17 @@
  */
 bool pool_is_settling(const struct lease_pool *pool, uint64_t now_ms);
 
+/* Workers have answered a new leader's first hold by then, or are silent. */
+#define POOL_FIRST_LISTS_MS 300
+
+/*
+ * Returns true while a worker has not listed its runs that this leader found
+ * when it began, or when it read the list of workers: one may be of a task that
+ * an earlier leader's start has begun late. A worker is not waited for once two
+ * holds have no answer, nor for longer than POOL_FIRST_LISTS_MS.
+ */
+bool pool_awaits_first_lists(const struct lease_pool *pool, uint64_t now_ms);
+
 /*
  * Sends a probe, a hold that does not wait, to all held workers, now or soon
  * after the last one. It is needed because a worker that has restarted does not
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -293,8 +293,10 @@
 	pool->fence = pool->highest_fence = fence;
 	pool->probed_ms = now_ms;
 	pool->probe_due_ms = 0;
+	pool->first_lists_until_ms = now_ms + POOL_FIRST_LISTS_MS;
 	TAILQ_FOREACH(worker, &pool->workers, entry) {
 		worker->state = POOL_UNHELD;
+		worker->owes_first_list = true;
 		worker->raised_by = 0;
 		pool_forget_holds(pool, worker);
 		worker->failures = 0;
@@ -570,6 +572,7 @@
 			 worker->id);
 	if (worker->failures)
 		pool->room_version++;
+	worker->owes_first_list = false;
 	worker->failures = 0;
 	worker->lost_ms = 0;
 	worker->is_replaced = false;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -77,6 +77,7 @@
 	uint64_t probed_ms; /* when all workers were last probed */
 	uint64_t highest_fence; /* that was used under this claim */
 	uint64_t probe_due_ms; /* of the next such probe; 0: none */
+	uint64_t first_lists_until_ms; /* tasks wait no longer; 0: no wait */
 	uint64_t ticked_ms;
 	/* Moving averages over starts; the first two over answered ones. */
 	double mean_answer_ms;
