base: an address in brackets with a NUL is invalid

An entry of an instance in the store's list with such an address (platform_text, store_sync) was dialled as "[::1"; names and IPv4 addresses were checked byte by byte.

test_nul_and_length fails without the check.

--- a/packages/base/host_port.c
+++ b/packages/base/host_port.c
@@ -41,6 +41,8 @@
 		return HOST_PORT_INVALID;
 	memcpy(literal, host + 1, len - 2);
 	literal[len - 2] = '\0';
+	if (strlen(literal) < len - 2)
+		return HOST_PORT_INVALID;
 	return inet_pton(AF_INET6, literal, &ipv6) == 1 ? HOST_PORT_NUMERIC
 							: HOST_PORT_INVALID;
 }
--- a/packages/base/tests/test_host_port.c
+++ b/packages/base/tests/test_host_port.c
@@ -98,9 +98,12 @@
 START_TEST(test_nul_and_length)
 {
 	static const char with_nul[] = "10.0.0.1\0:80";
+	static const char ipv6_with_nul[] = "[::1\0]:80";
 	char text[10240];
 
 	ck_assert(!host_port_classify(with_nul, sizeof(with_nul) - 1));
+	ck_assert(
+		!host_port_classify(ipv6_with_nul, sizeof(ipv6_with_nul) - 1));
 	ck_assert(!host_port_classify("10.0.0.1:8\0", 11));
 	memset(text, 'a', sizeof(text));
 	text[sizeof(text) - 3] = ':';
