--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -123,7 +123,7 @@
 	uint64_t report_read_ms; /* when it was read first */
 	enum pool_hold_state state;
 	uint64_t foreign_ms; /* since when it obeys another instance */
-	bool owes_first_list; /* of its runs, since the leader found it */
+	bool owes_first_list; /* of runs, to the leader that found it */
 	bool hold_pending; /* a hold awaits its answer */
 	/* Holds that others replaced, and whose answers may be lost. */
 	uint32_t replaced_holds;
@@ -448,10 +448,11 @@
 #define POOL_FIRST_LISTS_MS 300
 
 /*
- * Returns true while a worker has not listed its runs that this leader found
- * when it began, or when it read the list of workers: one may be of a task that
- * an earlier leader's start has begun late. A worker is not waited for once two
- * holds have no answer, nor for longer than POOL_FIRST_LISTS_MS.
+ * Returns true while no task should start: a worker that this leader found when
+ * it began, or when it read the list of workers, has not listed its runs. An
+ * earlier leader's start may have begun one of them late, of any task. A worker
+ * is not waited for once two holds have no answer, nor for longer than
+ * POOL_FIRST_LISTS_MS.
  */
 bool pool_awaits_first_lists(const struct lease_pool *pool, uint64_t now_ms);
 
--- a/packages/core/lease_pool_hold.c
+++ b/packages/core/lease_pool_hold.c
@@ -310,6 +310,43 @@
 	}
 }
 
+bool pool_awaits_first_lists(const struct lease_pool *pool, uint64_t now_ms)
+{
+	const struct pool_worker *worker;
+
+#ifdef BREAK_FIRST_LISTS
+	return false;
+#endif
+	if (now_ms >= pool->first_lists_until_ms)
+		return false;
+	TAILQ_FOREACH(worker, &pool->workers, entry)
+		if (worker->registered && worker->owes_first_list &&
+		    worker->failures < POOL_LOST_HOLDS)
+			return true;
+	return false;
+}
+
+void pool_note_first_lists(struct lease_pool *pool, uint64_t now_ms)
+{
+	const struct pool_worker *worker, *silent = NULL;
+	uint32_t count = 0;
+
+	if (!pool->first_lists_until_ms ||
+	    pool_awaits_first_lists(pool, now_ms))
+		return;
+	TAILQ_FOREACH(worker, &pool->workers, entry)
+		if (worker->registered && worker->owes_first_list) {
+			silent = worker;
+			count++;
+		}
+	log_info(LOG_TARGET,
+		 "tasks start: waited %" PRIu64 " ms for the workers' first "
+		 "lists of runs; %u workers have not answered%s%s",
+		 now_ms + POOL_FIRST_LISTS_MS - pool->first_lists_until_ms,
+		 count, silent ? ", one is " : "", silent ? silent->id : "");
+	pool->first_lists_until_ms = 0;
+}
+
 void pool_send_due_probes(struct lease_pool *pool, uint64_t now_ms)
 {
 	struct pool_worker *worker;
--- a/packages/core/lease_pool_state.h
+++ b/packages/core/lease_pool_state.h
@@ -184,6 +184,9 @@
 void pool_send_due_hold(struct lease_pool *pool, struct pool_worker *worker,
 			uint64_t now_ms);
 
+/* Logs the end of the wait for first lists, see pool_awaits_first_lists. */
+void pool_note_first_lists(struct lease_pool *pool, uint64_t now_ms);
+
 /* Sends the probe that pool_probe_all has scheduled, if it is due. */
 void pool_send_due_probes(struct lease_pool *pool, uint64_t now_ms);
 
--- a/packages/core/tests/test_lease_first_lists.c
+++ b/packages/core/tests/test_lease_first_lists.c
@@ -8,6 +8,8 @@
 
 #define ID "00000000000000a1"
 #define TASK ID ".0.0.0"
+#define OTHER_ID "00000000000000a2"
+#define OTHER_TASK OTHER_ID ".0.0.0"
 #define FENCE 5
 #define LATE_RUN 1 /* of a leader that was lost */
 
@@ -31,6 +33,13 @@
 	talloc_free(fake);
 }
 
+static void submit_other_job(void)
+{
+	struct lease_submission job = fake_orders_submission(OTHER_ID, 1);
+
+	fake_orders_submit(fake, &job);
+}
+
 static void list_late_run(const char *worker)
 {
 	struct pool_listed_run run = { TASK, LATE_RUN, 1 };
@@ -80,20 +89,16 @@
 /* A leader that is elected before it has read the list of workers. */
 START_TEST(test_two_runs_before_listed_workers_have_answered)
 {
-	struct lease_submission job =
-		fake_orders_submission("00000000000000a2", 1);
-
 	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
 	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
 	fake_orders_advance(fake, POOL_FIRST_LISTS_MS);
 	fake_orders_add_worker(fake, "w3", 4000);
 	pool_note_list_read(lease_pool(fake->dispatch), fake->now_ms);
-	fake_orders_submit(fake, &job);
+	submit_other_job();
 	fake_orders_advance(fake, 20);
-	ck_assert_ptr_null(fake_orders_started(fake, "00000000000000a2.0.0.0"));
+	ck_assert_ptr_null(fake_orders_started(fake, OTHER_TASK));
 	fake_orders_answer_hold(fake, "w3", NULL, 0, NULL, 0);
-	ck_assert_ptr_nonnull(
-		fake_orders_started(fake, "00000000000000a2.0.0.0"));
+	ck_assert_ptr_nonnull(fake_orders_started(fake, OTHER_TASK));
 }
 END_TEST
 
@@ -126,15 +131,11 @@
 /* Workers restart all the time; no other task waits for one of them. */
 START_TEST(test_worker_that_restarts_later_delays_no_task)
 {
-	struct lease_submission job =
-		fake_orders_submission("00000000000000a2", 1);
-
 	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
 	fake_orders_answer_hold(fake, "w1", NULL, 0, NULL, 0);
 	fake_orders_restart_worker(fake, "w1", 2);
-	fake_orders_submit(fake, &job);
-	ck_assert_ptr_nonnull(
-		fake_orders_started(fake, "00000000000000a2.0.0.0"));
+	submit_other_job();
+	ck_assert_ptr_nonnull(fake_orders_started(fake, OTHER_TASK));
 }
 END_TEST
 
