core: a new leader waits for silent workers for 0.1 s at most

Cause: all starts wait for the slowest worker. One that is in reach answers within a few ms, or, if the first answer is lost, within 80 ms: the hold's timeout and a second one. Longer waits are for workers that are not in reach, whose runs the leader won't see anyway. So 0.1 s keeps the reason of the wait; test_lease_first_lists passes unchanged.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -29,6 +29,8 @@
 #define HUNG_FACTOR 4
 #define ESTIMATE_ERROR_PERCENT 140 /* true run time, of the estimate */
 #define HUNG_SLACK_MS 150
+/* A new leader's workers have answered their first hold, or are silent. */
+#define FIRST_LISTS_MS 300
 /* Each leader numbers a task's runs above those of earlier leaders. */
 #define RUN_NUMBERS_PER_LEADER 16
 #define OLD_RUN_NUMBER_SKIP 8 /* added after a refusal with POOL_OLD */
@@ -880,7 +882,7 @@
 		return;
 	/* A new leader's workers may yet list the run of the late start. */
 	if (job && pool_has_unanswered(dispatch->pool, now_ms))
-		job->late_check_ms = now_ms + POOL_FIRST_LISTS_MS;
+		job->late_check_ms = now_ms + FIRST_LISTS_MS;
 	else if (job && give_up_late_job(job, now_ms))
 		return;
 	dispatch->is_full = false;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -444,8 +444,11 @@
  */
 bool pool_is_settling(const struct lease_pool *pool, uint64_t now_ms);
 
-/* Workers have answered a new leader's first hold by then, or are silent. */
-#define POOL_FIRST_LISTS_MS 300
+/*
+ * Workers that are in reach have answered a new leader's first holds by then:
+ * time for one that is lost, and for the next one.
+ */
+#define POOL_FIRST_LISTS_MS 100
 
 /*
  * Returns true while no task should start: a worker that this leader found when
