core/tests: a site of more than 32 instances notes who has not read a report

The fixture kept the instances that had not read a worker's last report in 32 bits, and a fleet has 40 to 150: instance 36 stood for instance 4.

Now each instance has an element of its own.

--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -143,7 +143,8 @@
 	bool draining;
 	uint64_t drained_ms; /* the store accepted that; 0: it does not drain */
 	uint64_t leaves_ms; /* 0: it stays */
-	uint32_t missed; /* instances that have not read the last one */
+	bool missed[MAX_NODES]; /* not read by these instances */
+	bool is_missed; /* by any of them */
 	uint32_t milli; /* capacity */
 	uint32_t old_milli; /* before the last change, at changed_ms */
 	uint64_t changed_ms;
@@ -1212,11 +1213,11 @@
 	node->listed_ms = site->now_ms;
 }
 
-/* Returns true if instance i reads the entry with the worker's next report. */
-static bool misses_entry(struct site *site, const struct worker *w, uint32_t i,
-			 bool is_late)
+/* Returns true if an instance reads the entry with the worker's next report. */
+static bool misses_entry(struct site *site, const struct worker *w,
+			 bool missed_before, bool is_late)
 {
-	if (w->missed & 1u << i)
+	if (missed_before)
 		return is_late;
 	return site->options->is_unguarded && !w->has_lost_report &&
 	       happens(site, LOST_REPORT_PERCENT);
@@ -1228,24 +1229,24 @@
  */
 static void publish_entry(struct site *site, struct worker *w, bool is_late)
 {
-	uint32_t missed = 0;
-
+	w->is_missed = false;
 	for (uint32_t i = 0; i < site->options->instances; i++) {
 		struct node *node = &site->nodes[i];
+		bool missed_before = w->missed[i];
 
+		w->missed[i] = false;
 		if (!node->has_list)
 			continue;
 		if (!is_running(site, node)) {
 			node->has_missed = site->options->is_unguarded ||
 					   site->options->late_reports;
-		} else if (misses_entry(site, w, i, is_late)) {
-			missed |= 1u << i;
+		} else if (misses_entry(site, w, missed_before, is_late)) {
+			w->missed[i] = w->is_missed = true;
 		} else {
 			log_instance(site, node);
 			list_worker(site, node, w);
 		}
 	}
-	w->missed = missed;
 }
 
 static void write_report(struct site *site, struct worker *w,
@@ -1265,7 +1266,7 @@
 {
 	struct report report = make_report(w);
 	bool is_lost = site->options->late_reports && w->reports &&
-		       !w->has_lost_report && !w->missed &&
+		       !w->has_lost_report && !w->is_missed &&
 		       happens(site, LATE_REPORT_PERCENT);
 
 	w->reports++;
