--- a/packages/core/tests/test_lease_first_lists.c
+++ b/packages/core/tests/test_lease_first_lists.c
@@ -40,21 +40,23 @@
 	fake_orders_submit(fake, &job);
 }
 
-static void list_late_run(const char *worker)
+/* The task waits for w1's list, and does not start beside the run in it. */
+static void check_waits_for_late_run(void)
 {
 	struct pool_listed_run run = { TASK, LATE_RUN, 1 };
 
-	fake_orders_answer_hold(fake, worker, &run, 1, NULL, 0);
+	fake_orders_advance(fake, 20);
+	ck_assert_ptr_null(fake_orders_started(fake, TASK));
+	fake_orders_answer_hold(fake, "w1", &run, 1, NULL, 0);
+	ck_assert_ptr_null(fake_orders_started(fake, TASK));
+	fake_orders_advance(fake, POOL_FIRST_LISTS_MS);
+	ck_assert_ptr_null(fake_orders_started(fake, TASK));
 }
 
 START_TEST(test_two_runs_before_all_workers_have_listed_theirs)
 {
 	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
-	fake_orders_advance(fake, 20);
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
-	list_late_run("w1");
-	fake_orders_advance(fake, POOL_FIRST_LISTS_MS);
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
+	check_waits_for_late_run();
 }
 END_TEST
 
@@ -62,10 +64,7 @@
 {
 	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
 	fake_orders_lose_hold(fake, "w1");
-	fake_orders_advance(fake, 20);
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
-	list_late_run("w1");
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
+	check_waits_for_late_run();
 }
 END_TEST
 
@@ -79,10 +78,7 @@
 
 	fake_orders_report(fake, &report);
 	fake_orders_answer_hold(fake, "w2", NULL, 0, NULL, 0);
-	fake_orders_advance(fake, 20);
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
-	list_late_run("w1");
-	ck_assert_ptr_null(fake_orders_started(fake, TASK));
+	check_waits_for_late_run();
 }
 END_TEST
 
