--- a/packages/core/late_task.c
+++ b/packages/core/late_task.c
@@ -8,7 +8,7 @@
 
 struct late_tasks {
 	struct late_task *by_name;
-	struct late_task_list unsent;
+	struct late_task_list unsent[LATE_CHANNEL_COUNT];
 };
 
 /* talloc frees the entries, but not the hash table. */
@@ -22,7 +22,8 @@
 {
 	struct late_tasks *late = talloc_zero(mem, struct late_tasks);
 
-	TAILQ_INIT(&late->unsent);
+	for (int i = 0; i < LATE_CHANNEL_COUNT; i++)
+		TAILQ_INIT(&late->unsent[i]);
 	talloc_set_destructor(late, destroy);
 	return late;
 }
@@ -36,24 +37,44 @@
 }
 
 static void set_unsent(struct late_tasks *late, struct late_task *task,
-		       bool is_unsent)
+		       int channel, bool is_unsent)
 {
-	if (task->is_unsent == is_unsent)
+	if (task->channels[channel].is_unsent == is_unsent)
 		return;
-	task->is_unsent = is_unsent;
+	task->channels[channel].is_unsent = is_unsent;
 	if (is_unsent)
-		TAILQ_INSERT_TAIL(&late->unsent, task, in_unsent);
+		TAILQ_INSERT_TAIL(&late->unsent[channel], task,
+				  channels[channel].entry);
 	else
-		TAILQ_REMOVE(&late->unsent, task, in_unsent);
+		TAILQ_REMOVE(&late->unsent[channel], task,
+			     channels[channel].entry);
+}
+
+static void set_all_unsent(struct late_tasks *late, struct late_task *task,
+			   bool is_unsent)
+{
+	for (int i = 0; i < LATE_CHANNEL_COUNT; i++)
+		set_unsent(late, task, i, is_unsent);
 }
 
 static void remove_task(struct late_tasks *late, struct late_task *task)
 {
-	set_unsent(late, task, false);
+	set_all_unsent(late, task, false);
 	HASH_REMOVE(late->by_name, task);
 	talloc_free(task);
 }
 
+/* Removes a withdrawn task once all that know of it know that, too. */
+static void remove_if_settled(struct late_tasks *late, struct late_task *task)
+{
+	if (task->until_ms)
+		return;
+	for (int i = 0; i < LATE_CHANNEL_COUNT; i++)
+		if (task->channels[i].is_unsent)
+			return;
+	remove_task(late, task);
+}
+
 static struct late_task *get(struct late_tasks *late, const char *name)
 {
 	struct late_task *task = find(late, name);
@@ -83,7 +104,7 @@
 	if (until_ms <= task->until_ms)
 		return;
 	task->until_ms = until_ms;
-	set_unsent(late, task, true);
+	set_all_unsent(late, task, true);
 }
 
 void late_withdraw(struct late_tasks *late, const char *name)
@@ -92,12 +113,12 @@
 
 	if (!task || task->waits)
 		return;
-	if (!task->was_sent) {
-		remove_task(late, task);
-		return;
-	}
+	if (task->until_ms)
+		task->forget_ms = task->until_ms;
 	task->until_ms = 0;
-	set_unsent(late, task, true);
+	for (int i = 0; i < LATE_CHANNEL_COUNT; i++)
+		set_unsent(late, task, i, task->channels[i].was_sent);
+	remove_if_settled(late, task);
 }
 
 void late_merge(struct late_tasks *late, const char *name, uint64_t from,
@@ -126,7 +147,7 @@
 	struct late_task *task;
 
 	for (task = late->by_name; task; task = task->hh.next)
-		task->waits = true;
+		task->waits |= task->until_ms != 0;
 }
 
 bool late_expire(struct late_tasks *late, uint64_t now_ms,
@@ -139,12 +160,16 @@
 	HASH_ITER(hh, late->by_name, task, next) {
 		uint64_t until_ms;
 
+		if (!task->until_ms && task->forget_ms <= now_ms) {
+			remove_task(late, task);
+			continue;
+		}
 		if (task->until_ms > now_ms || !task->until_ms)
 			continue;
 		until_ms = extend(ctx, task);
 		if (until_ms > now_ms) {
 			task->until_ms = until_ms;
-			set_unsent(late, task, true);
+			set_all_unsent(late, task, true);
 			continue;
 		}
 		remove_task(late, task);
@@ -170,19 +195,29 @@
 	return late->by_name;
 }
 
-const struct late_task_list *late_unsent(const struct late_tasks *late)
+const struct late_task_list *late_unsent(const struct late_tasks *late,
+					 enum late_channel channel)
 {
-	return &late->unsent;
+	return &late->unsent[channel];
 }
 
-void late_mark_sent(struct late_tasks *late)
+void late_mark_sent(struct late_tasks *late, enum late_channel channel,
+		    size_t count)
 {
 	struct late_task *task;
 
-	while ((task = TAILQ_FIRST(&late->unsent))) {
-		set_unsent(late, task, false);
-		task->was_sent = true;
-		if (!task->until_ms)
-			remove_task(late, task);
+	while (count-- && (task = TAILQ_FIRST(&late->unsent[channel]))) {
+		set_unsent(late, task, channel, false);
+		task->channels[channel].was_sent = true;
+		remove_if_settled(late, task);
 	}
 }
+
+void late_mark_unsent(struct late_tasks *late, enum late_channel channel)
+{
+	struct late_task *task;
+
+	for (task = late->by_name; task; task = task->hh.next)
+		if (task->channels[channel].was_sent)
+			set_unsent(late, task, channel, true);
+}
--- a/packages/core/late_task.h
+++ b/packages/core/late_task.h
@@ -16,27 +16,33 @@
  * until that start can have begun no run that is still open.
  *
  * The leader sends them to the members that may lead next, as no other list
- * shows such a start. While its run is open at this instance, the pool handles
- * the task, and the table only keeps it for the others.
+ * shows such a start, and to the store for those that it does not reach. While
+ * its run is open at this instance, the pool handles the task, and the table
+ * only keeps it for the others.
  *
  * Not for the orders to a worker: see core/lease_pool_state.h.
  */
 
 #define LATE_TASK_MAX 65536
 
+enum late_channel { LATE_TO_MEMBERS, LATE_TO_STORE, LATE_CHANNEL_COUNT };
+
 struct late_tasks;
 
 struct late_task {
 	UT_hash_handle hh; /* by name, in the order of their notes */
-	TAILQ_ENTRY(late_task) in_unsent; /* while is_unsent */
+	struct {
+		TAILQ_ENTRY(late_task) entry; /* while is_unsent */
+		bool is_unsent;
+		bool was_sent;
+	} channels[LATE_CHANNEL_COUNT];
 	char name[STEP_JOB_TASK_BYTES];
 	uint64_t worker; /* key of the worker of the last start; 0: not ours */
 	uint64_t from; /* incarnation of the member it came from, see late_merge
 			*/
 	uint64_t until_ms; /* 0: withdrawn, and not sent so far */
+	uint64_t forget_ms; /* then a withdrawn task is removed, sent or not */
 	bool waits; /* else its run is open here */
-	bool is_unsent;
-	bool was_sent;
 };
 
 TAILQ_HEAD(late_task_list, late_task);
@@ -83,8 +89,15 @@
 /* The first task; the next ones follow in hh.next. NULL: none. */
 struct late_task *late_first(const struct late_tasks *late);
 
-/* The tasks that have changed since late_mark_sent. */
-const struct late_task_list *late_unsent(const struct late_tasks *late);
-void late_mark_sent(struct late_tasks *late);
+/* Tasks noted here that have changed since they were sent over the channel. */
+const struct late_task_list *late_unsent(const struct late_tasks *late,
+					 enum late_channel channel);
+
+/* The first count unsent tasks, or all if there are fewer, were sent. */
+void late_mark_sent(struct late_tasks *late, enum late_channel channel,
+		    size_t count);
+
+/* Nothing that was sent over the channel is known to have arrived. */
+void late_mark_unsent(struct late_tasks *late, enum late_channel channel);
 
 #endif
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -46,6 +46,12 @@
 	 * lease_node_worker_list_current. NULL: the list is always current.
 	 */
 	void (*refresh_workers)(void *ctx);
+	/*
+	 * Keeps a message for the instances that cannot be reached over links,
+	 * for 15 s at least, and calls lease_node_late_starts_kept, not before
+	 * it returns. NULL: there is no store.
+	 */
+	void (*keep_late_starts)(void *ctx, const Bergamot__LateStarts *msg);
 };
 
 struct lease_node_options {
@@ -176,6 +182,17 @@
 			     uint64_t incarnation, const Bergamot__Peer *msg,
 			     uint64_t now_ms);
 
+/* Late starts, see core/late_task.h. */
+
+/* Handles the answer to keep_late_starts. */
+void lease_node_late_starts_kept(struct lease_node *lease_node, bool is_kept,
+				 uint64_t now_ms);
+
+/* An instance has kept a message; those of one instance in their order. */
+void lease_node_late_starts_read(struct lease_node *lease_node, uint64_t from,
+				 const Bergamot__LateStarts *msg,
+				 uint64_t now_ms);
+
 /* State. */
 
 /* Returns true if there is a configuration and a leader, and no stop began. */
--- a/packages/core/lease_node_late.c
+++ b/packages/core/lease_node_late.c
@@ -11,6 +11,13 @@
 #define MAX_OVER_MS 60000
 /* A member may lead by then, though it is no candidate when its link is new. */
 #define NEW_MEMBER_MS 10000
+/*
+ * From a change to its writing, in which most starts without an answer are
+ * found in a list; well below the 2 s after which orders are carried out late.
+ */
+#define KEEP_DELAY_MS 300
+#define KEEP_RETRY_MS 1000
+#define MAX_TASKS_PER_KEY 4096 /* some 150 KB */
 
 static struct late_tasks *tasks_of(struct lease_node *lease_node)
 {
@@ -31,11 +38,21 @@
 	TALLOC_CTX *mem;
 };
 
-static void send_rows(struct lease_node *lease_node, struct rows *rows)
+static void send_rows_to(struct lease_node *lease_node,
+			 const struct leader_member *m, uint64_t number,
+			 Bergamot__Peer *peer)
+{
+	peer->late_starts->number = m->missed_late_starts ? 0 : number;
+	lease_node->ports->send(lease_node->ports->ctx, m->incarnation, peer);
+}
+
+/* The last of several messages has the number, the others have 0. */
+static void send_rows(struct lease_node *lease_node, struct rows *rows,
+		      uint64_t number)
 {
 	Bergamot__LateStarts msg = BERGAMOT__LATE_STARTS__INIT;
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
-	const struct leader_member *m;
+	struct leader_member *m;
 
 	if (!rows->count)
 		return;
@@ -44,63 +61,135 @@
 	rows->count = 0;
 	peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 	peer.late_starts = &msg;
-	if (rows->to) {
-		lease_node->ports->send(lease_node->ports->ctx, rows->to,
-					&peer);
-		return;
-	}
 	for (m = leader_members(lease_node->members); m; m = m->hh.next)
-		if (may_lead_next(m, rows->now_ms))
-			lease_node->ports->send(lease_node->ports->ctx,
-						m->incarnation, &peer);
+		if (rows->to ? m->incarnation == rows->to
+			     : may_lead_next(m, rows->now_ms))
+			send_rows_to(lease_node, m, number, &peer);
+		else if (!rows->to)
+			m->missed_late_starts = true;
 }
 
-static void add_row(struct lease_node *lease_node, struct rows *rows,
-		    struct late_task *task)
+static Bergamot__LateStart *pack_row(TALLOC_CTX *mem, struct late_task *task,
+				     uint64_t now_ms)
 {
-	Bergamot__LateStart *row = talloc(rows->mem, Bergamot__LateStart);
+	Bergamot__LateStart *row = talloc(mem, Bergamot__LateStart);
 
 	bergamot__late_start__init(row);
 	row->task = task->name;
-	if (task->until_ms > rows->now_ms)
-		row->over_in_ms = (uint32_t)(task->until_ms - rows->now_ms);
-	rows->rows[rows->count++] = row;
+	if (task->until_ms > now_ms)
+		row->over_in_ms = (uint32_t)(task->until_ms - now_ms);
+	return row;
+}
+
+static void add_row(struct lease_node *lease_node, struct rows *rows,
+		    struct late_task *task)
+{
 	if (rows->count == MAX_TASKS_PER_MESSAGE)
-		send_rows(lease_node, rows);
+		send_rows(lease_node, rows, 0);
+	rows->rows[rows->count++] = pack_row(rows->mem, task, rows->now_ms);
 }
 
-void lease_node_send_late_starts(struct lease_node *lease_node, uint64_t now_ms)
+static void send_to_members(struct lease_node *lease_node, uint64_t now_ms)
 {
 	struct late_tasks *late = tasks_of(lease_node);
 	struct rows rows = { .now_ms = now_ms };
 	struct late_task *task;
 
 #ifdef BREAK_TELL_LATE
-	late_mark_sent(late);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 #endif
-	if (TAILQ_EMPTY(late_unsent(late)))
+	if (TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)))
 		return;
 	rows.mem = talloc_new(lease_node);
-	TAILQ_FOREACH(task, late_unsent(late), in_unsent)
+	TAILQ_FOREACH(task, late_unsent(late, LATE_TO_MEMBERS),
+		      channels[LATE_TO_MEMBERS].entry)
 		add_row(lease_node, &rows, task);
-	send_rows(lease_node, &rows);
+	send_rows(lease_node, &rows, ++lease_node->late_starts_number);
 	talloc_free(rows.mem);
-	late_mark_sent(late);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
+}
+
+/* Returns true if unsent tasks are to be kept now. */
+static bool is_keep_due(struct lease_node *lease_node, uint64_t now_ms)
+{
+	if (lease_node->is_keeping)
+		return false;
+	if (TAILQ_EMPTY(late_unsent(tasks_of(lease_node), LATE_TO_STORE))) {
+		lease_node->keep_due_ms = 0;
+		return false;
+	}
+	if (!lease_node->keep_due_ms)
+		lease_node->keep_due_ms = now_ms + KEEP_DELAY_MS;
+	return lease_node->keep_due_ms <= now_ms;
+}
+
+static void keep_in_store(struct lease_node *lease_node, uint64_t now_ms)
+{
+	struct late_tasks *late = tasks_of(lease_node);
+	Bergamot__LateStarts msg = BERGAMOT__LATE_STARTS__INIT;
+	struct late_task *task;
+
+#ifdef BREAK_KEEP_LATE
+	late_mark_sent(late, LATE_TO_STORE, SIZE_MAX);
+#endif
+	if (!lease_node->ports->keep_late_starts) {
+		late_mark_sent(late, LATE_TO_STORE, SIZE_MAX);
+		return;
+	}
+	if (!is_keep_due(lease_node, now_ms))
+		return;
+	lease_node->keep_due_ms = 0;
+	lease_node->is_keeping = true;
+	msg.number = ++lease_node->late_starts_number;
+	msg.starts = talloc_array(lease_node, Bergamot__LateStart *,
+				  MAX_TASKS_PER_KEY);
+	TAILQ_FOREACH(task, late_unsent(late, LATE_TO_STORE),
+		      channels[LATE_TO_STORE].entry) {
+		if (msg.n_starts == MAX_TASKS_PER_KEY)
+			break;
+		msg.starts[msg.n_starts++] = pack_row(msg.starts, task, now_ms);
+	}
+	lease_node->ports->keep_late_starts(lease_node->ports->ctx, &msg);
+	talloc_free(msg.starts);
+	late_mark_sent(late, LATE_TO_STORE, msg.n_starts);
+}
+
+void lease_node_send_late_starts(struct lease_node *lease_node, uint64_t now_ms)
+{
+	send_to_members(lease_node, now_ms);
+	keep_in_store(lease_node, now_ms);
+}
+
+void lease_node_late_starts_kept(struct lease_node *lease_node, bool is_kept,
+				 uint64_t now_ms)
+{
+	lease_node->is_keeping = false;
+	if (is_kept)
+		return;
+	log_warning(LOG_PEER,
+		    "starts without an answer are not kept in the store; tried "
+		    "again in %d ms",
+		    KEEP_RETRY_MS);
+	late_mark_unsent(tasks_of(lease_node), LATE_TO_STORE);
+	lease_node->keep_due_ms = now_ms + KEEP_RETRY_MS;
 }
 
 void lease_node_send_all_late_starts(struct lease_node *lease_node, uint64_t to,
 				     uint64_t now_ms)
 {
 	struct late_task *task = late_first(tasks_of(lease_node));
+	struct leader_member *m = leader_find(lease_node->members, to);
 	struct rows rows = { .to = to, .now_ms = now_ms };
 
+	if (m)
+		m->missed_late_starts = false;
 	if (!task)
 		return;
 	rows.mem = talloc_new(lease_node);
 	for (; task; task = task->hh.next)
 		if (task->until_ms > now_ms)
 			add_row(lease_node, &rows, task);
-	send_rows(lease_node, &rows);
+	send_rows(lease_node, &rows, lease_node->late_starts_number);
 	talloc_free(rows.mem);
 }
 
@@ -114,8 +203,8 @@
 	return NULL;
 }
 
-void lease_node_on_late_starts(struct lease_node *lease_node, uint64_t from,
-			       const Bergamot__LateStarts *msg, uint64_t now_ms)
+static void merge_late_starts(struct lease_node *lease_node, uint64_t from,
+			      const Bergamot__LateStarts *msg, uint64_t now_ms)
 {
 	for (size_t i = 0; i < msg->n_starts; i++) {
 		const Bergamot__LateStart *row = msg->starts[i];
@@ -136,3 +225,27 @@
 			   row->over_in_ms ? now_ms + row->over_in_ms : 0);
 	}
 }
+
+void lease_node_on_late_starts(struct lease_node *lease_node, uint64_t from,
+			       const Bergamot__LateStarts *msg, uint64_t now_ms)
+{
+	struct leader_member *m = leader_find(lease_node->members, from);
+
+	if (m && msg->number > m->late_starts_number)
+		m->late_starts_number = msg->number;
+	merge_late_starts(lease_node, from, msg, now_ms);
+}
+
+void lease_node_late_starts_read(struct lease_node *lease_node, uint64_t from,
+				 const Bergamot__LateStarts *msg,
+				 uint64_t now_ms)
+{
+	struct leader_member *m = leader_find(lease_node->members, from);
+
+	if (from == lease_node->options.incarnation ||
+	    (m && msg->number <= m->late_starts_number))
+		return;
+	if (m)
+		m->late_starts_number = msg->number;
+	merge_late_starts(lease_node, from, msg, now_ms);
+}
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -86,6 +86,9 @@
 	/* All changes of the list were read since; 0: it is not read. */
 	uint64_t workers_followed_ms;
 	bool run_due; /* answers of relays may have freed workers */
+	uint64_t late_starts_number; /* of our last message on late starts */
+	uint64_t keep_due_ms; /* they are kept in the store then; 0: not due */
+	bool is_keeping; /* the store has not answered yet */
 	bool stopping;
 	uint64_t ends_ms; /* when all jobs are answered; 0: not stopping */
 };
@@ -168,7 +171,9 @@
 
 /* lease_node_late.c */
 
-/* Tells the members that may lead next of starts that may be carried out late.
+/*
+ * Tells the members that may lead next of starts that may be carried out late,
+ * and keeps them in the store.
  */
 void lease_node_send_late_starts(struct lease_node *lease_node,
 				 uint64_t now_ms);
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "core/lease_node.h"
+#include "fake_store.h"
 
 #define LEASE_MS 1000
 #define STOP_MS 50
@@ -28,7 +29,7 @@
 #define LIST_PERIOD_MS 1400 /* between two readings of the registrations */
 #define OVERLOAD_LAG_MS 200
 #define RESEND_MS 1300
-#define STORE_MS 8 /* a call to the store and its answer */
+#define STORE_MS FAKE_STORE_CALL_MS
 #define CALLER_DEADLINE_MS 20000
 #define DIAL_PERIOD_MS 500
 #define LINK_SILENCE_MS 1500 /* limit for unacknowledged data on a link */
@@ -144,6 +145,7 @@
 	uint64_t stop_ends_ms;
 	uint64_t overloaded_until_ms;
 	bool flush_due;
+	struct fake_store_reader reader;
 	bool leads; /* as last traced */
 	uint64_t linked[SCENARIO_NODES]; /* incarnations; 0: no link */
 	/* What this side of a link sends is lost until then; 0: it is not. */
@@ -165,6 +167,7 @@
 	EV_LISTED,
 	EV_LISTED_LATE,
 	EV_REFRESHED,
+	EV_KEPT,
 	EV_RESEND,
 };
 
@@ -196,6 +199,7 @@
 	bool cut[SCENARIO_NODES][SCENARIO_NODES];
 	bool worker_cut[SCENARIO_NODES][SCENARIO_WORKERS];
 	struct event_list events[EVENT_SLOTS];
+	struct fake_store *store;
 	struct event_list kept; /* sent during a cut, arrive afterwards */
 	size_t event_count; /* submissions, and orders that are on their way */
 	uint64_t now_ms;
@@ -403,6 +407,15 @@
 		node->play->now_ms;
 }
 
+static void port_keep(void *ctx, const Bergamot__LateStarts *msg)
+{
+	struct node *node = ctx;
+	struct play *play = node->play;
+
+	fake_store_keep(play->store, node->incarnation, msg, play->now_ms);
+	schedule_event(play, EV_KEPT, node, STORE_MS);
+}
+
 static void resend_later(struct play *play)
 {
 	play->is_open = false;
@@ -930,6 +943,7 @@
 	node->restart_ms = node->stop_ends_ms = node->frozen_until_ms = 0;
 	node->overloaded_until_ms = 0;
 	node->flush_due = false;
+	node->reader = (struct fake_store_reader){ 0 };
 	memcpy(node->read_closed, node->closed, sizeof(node->closed));
 	node->incarnation = (uint64_t)(node->index + 1) * 1000 + node->lives;
 	options.incarnation = node->incarnation;
@@ -943,6 +957,7 @@
 		.wall_ms = port_wall_ms,
 		.wake = port_wake,
 		.refresh_workers = port_refresh_workers,
+		.keep_late_starts = port_keep,
 	};
 	node->lease_node = lease_node_create(NULL, &options);
 	lease_node_config_read(node->lease_node, "1", 1, play->now_ms);
@@ -979,6 +994,8 @@
 	if (node->overloaded_until_ms > play->now_ms)
 		lease_node_record_lag(node->lease_node, OVERLOAD_LAG_MS);
 	lease_node_tick(node->lease_node, play->now_ms);
+	fake_store_read(play->store, &node->reader, node->lease_node,
+			play->now_ms);
 	leads = lease_node_leads(node->lease_node);
 	if (leads != node->leads)
 		trace(play, "instance %d %s", node->index,
@@ -1397,6 +1414,10 @@
 	case EV_REFRESHED:
 		refresh_workers(play, node, e->sent_ms);
 		break;
+	case EV_KEPT:
+		lease_node_late_starts_kept(node->lease_node, true,
+					    play->now_ms);
+		break;
 	case EV_TIMEOUT:
 		e->reply.answer = POOL_NO_ANSWER;
 		deliver_answer(play, node, e);
@@ -1477,6 +1498,7 @@
 {
 	play->now_ms = BEGIN_MS;
 	play->begin_ms = BEGIN_MS + ELECTION_MS;
+	play->store = fake_store_create(play);
 	STAILQ_INIT(&play->kept);
 	for (size_t i = 0; i < EVENT_SLOTS; i++)
 		STAILQ_INIT(&play->events[i]);
--- a/packages/core/tests/fake_site.c
+++ b/packages/core/tests/fake_site.c
@@ -11,6 +11,7 @@
 #include "base/random.h"
 #include "core/lease_node.h"
 #include "fake_crashes.h"
+#include "fake_store.h"
 
 #define LEASE_MS 1000
 #define STOP_MS 50
@@ -70,6 +71,9 @@
 #define LOST_PACKETS_PERCENT 30
 #define FIRST_RETRANSMIT_MS 200 /* each further one comes twice as late */
 #define LAST_RETRANSMIT_MS 1600
+/* Some instances lose the store for once to twice the time. */
+#define STORE_CUT_PERCENT 40
+#define STORE_CUT_MS 2500
 /* Time from a restart behind a cut to the end of the cut. */
 #define REBORN_BEFORE_MS 100
 
@@ -165,6 +169,8 @@
 	bool has_list; /* of the workers */
 	uint64_t listed_ms; /* when it read the list */
 	bool has_missed; /* reports while it was frozen */
+	struct fake_store_reader reader;
+	uint64_t store_cut_until_ms; /* calls to the store are lost */
 	char name[16];
 	char address[24]; /* of its peer links */
 };
@@ -178,6 +184,7 @@
 	EV_FLUSH,
 	EV_REACTION,
 	EV_REPORT,
+	EV_KEPT,
 };
 enum order_kind { ORDER_HOLD, ORDER_START, ORDER_STOP };
 
@@ -202,7 +209,7 @@
 	uint64_t ends_read;
 	uint32_t wait_ms;
 	uint64_t timeout_ms; /* then its sender gives it up */
-	bool unanswered; /* carried out, but its answer is lost */
+	bool unanswered; /* carried out, but its answer is lost; not kept */
 	struct pool_reply reply;
 	struct job *job;
 	struct report report;
@@ -259,6 +266,7 @@
 	struct request *requests;
 	struct noted_end *noted_ends;
 	struct fake_crashes *crashes;
+	struct fake_store *store;
 	uint64_t next_request;
 	uint64_t now_ms;
 	bool faults_ended;
@@ -407,6 +415,24 @@
 	node->flush_ms = event->due_ms;
 }
 
+static void port_keep(void *ctx, const Bergamot__LateStarts *msg)
+{
+	struct node *node = ctx;
+	struct site *site = node->site;
+	bool is_lost = node->store_cut_until_ms > site->now_ms;
+	struct event *event;
+
+	if (!is_lost)
+		fake_store_keep(site->store, node->incarnation, msg,
+				site->now_ms);
+	event = schedule_event(site, EV_KEPT,
+			       is_lost ? FAKE_STORE_TIMEOUT_MS
+				       : FAKE_STORE_CALL_MS);
+	event->unanswered = is_lost;
+	event->node = node->index;
+	event->incarnation = node->incarnation;
+}
+
 static void close_request(struct site *site, uint64_t number)
 {
 	struct request *r;
@@ -1348,6 +1374,7 @@
 	node->restart_ms = node->frozen_until_ms = node->stop_ends_ms = 0;
 	node->flush_ms = 0;
 	node->has_list = false;
+	node->reader = (struct fake_store_reader){ 0 };
 	node->incarnation = random_next(&site->random) | 1;
 	options.incarnation = node->incarnation;
 	node->ports = (struct lease_node_ports){
@@ -1359,6 +1386,7 @@
 		.parse_config = port_parse,
 		.wall_ms = port_wall_ms,
 		.wake = port_wake,
+		.keep_late_starts = port_keep,
 	};
 	node->lease_node = lease_node_create(NULL, &options);
 	lease_node_config_read(node->lease_node, "1", 1, site->now_ms);
@@ -1424,6 +1452,9 @@
 		 (site->now_ms + (uint64_t)node->index * 3) % TICK_MS == 0) {
 		log_instance(site, node);
 		lease_node_tick(node->lease_node, site->now_ms);
+		if (node->store_cut_until_ms <= site->now_ms)
+			fake_store_read(site->store, &node->reader,
+					node->lease_node, site->now_ms);
 		if (site->options->is_fleet)
 			list_workers_if_needed(site, node);
 	}
@@ -1759,6 +1790,16 @@
 	}
 }
 
+static void cut_store(struct site *site)
+{
+	uint64_t until_ms = site->now_ms + STORE_CUT_MS +
+			    random_below(&site->random, STORE_CUT_MS);
+
+	for (uint32_t i = 0; i < site->options->instances; i++)
+		if (random_below(&site->random, 100) < STORE_CUT_PERCENT)
+			site->nodes[i].store_cut_until_ms = until_ms;
+}
+
 static void inject_fault(struct site *site)
 {
 	static void (*const faults[])(struct site *) = {
@@ -1774,12 +1815,13 @@
 		resize_random_worker, /* with is_unguarded */
 		drain_worker, /* with late_reports */
 		harm_paths, /* with partial_cuts */
+		cut_store, /* with store_cuts */
 	};
 	const struct fake_site_options *o = site->options;
-	size_t kind =
-		random_below(&site->random,
-			     COMMON_FAULTS + o->more_resends + o->is_unguarded +
-				     o->late_reports + o->partial_cuts);
+	size_t kind = random_below(&site->random,
+				   COMMON_FAULTS + o->more_resends +
+					   o->is_unguarded + o->late_reports +
+					   o->partial_cuts + o->store_cuts);
 
 	if (kind >= COMMON_FAULTS && !o->more_resends)
 		kind++;
@@ -1787,6 +1829,8 @@
 		kind++;
 	if (kind > COMMON_FAULTS + 1 && !o->late_reports)
 		kind++;
+	if (kind > COMMON_FAULTS + 2 && !o->partial_cuts)
+		kind++;
 
 	site->result->faults++;
 	log_info(LOG_MAIN, "at %" PRIu64 " ms: fault %zu", site->now_ms, kind);
@@ -1886,6 +1930,10 @@
 					site->now_ms);
 		bergamot__peer__free_unpacked(msg, NULL);
 		break;
+	case EV_KEPT:
+		lease_node_late_starts_kept(node->lease_node, !e->unanswered,
+					    site->now_ms);
+		break;
 	case EV_FLUSH:
 		node->flush_ms = 0;
 		lease_node_flush(node->lease_node, site->now_ms);
@@ -1967,6 +2015,7 @@
 {
 	site->now_ms = 40000;
 	site->crashes = fake_crashes_create(site);
+	site->store = fake_store_create(site);
 	for (size_t i = 0; i < EVENT_SLOTS; i++)
 		STAILQ_INIT(&site->events[i]);
 	random_seed(&site->random, site->options->seed);
--- a/packages/core/tests/fake_site.h
+++ b/packages/core/tests/fake_site.h
@@ -62,6 +62,8 @@
 	 * instances: wholly, for answers only, or three packets in ten.
 	 */
 	bool partial_cuts;
+	/* One of the faults is that some instances lose the store. */
+	bool store_cuts;
 	/* No order is carried out late, and no answer is lost but by cuts. */
 	bool answers_arrive;
 	/*
--- a/packages/core/tests/test_late_task.c
+++ b/packages/core/tests/test_late_task.c
@@ -56,16 +56,16 @@
 START_TEST(test_each_time_is_told_once)
 {
 	late_note(late, TASK, WORKER, 5000, false);
-	ck_assert(!TAILQ_EMPTY(late_unsent(late)));
-	ck_assert(late_first(late)->is_unsent);
-	late_mark_sent(late);
+	ck_assert(!TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
+	ck_assert(late_first(late)->channels[LATE_TO_MEMBERS].is_unsent);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 	late_note(late, TASK, WORKER, 5000, true);
-	ck_assert(TAILQ_EMPTY(late_unsent(late)));
+	ck_assert(TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
 	late_note(late, TASK, WORKER, 5001, true);
-	ck_assert(!TAILQ_EMPTY(late_unsent(late)));
-	late_mark_sent(late);
+	ck_assert(!TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 	late_merge(late, OTHER, MEMBER, 9000);
-	ck_assert(TAILQ_EMPTY(late_unsent(late)));
+	ck_assert(TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
 	ck_assert_uint_eq(late_until_ms(late, OTHER), 9000);
 }
 END_TEST
@@ -74,11 +74,11 @@
 START_TEST(test_time_is_extended)
 {
 	late_note(late, TASK, WORKER, 5000, true);
-	late_mark_sent(late);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 	extended_ms = 6000;
 	ck_assert(!late_expire(late, 5000, extend, NULL));
 	ck_assert_uint_eq(late_until_ms(late, TASK), 6000);
-	ck_assert(!TAILQ_EMPTY(late_unsent(late)));
+	ck_assert(!TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
 	ck_assert(late_expire(late, 6000, extend, NULL));
 }
 END_TEST
@@ -90,12 +90,13 @@
 	ck_assert(late_is_empty(late));
 	/* Members that were told of it are told of that, too. */
 	late_note(late, TASK, WORKER, 5000, false);
-	late_mark_sent(late);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 	late_withdraw(late, TASK);
-	ck_assert_uint_eq(TAILQ_FIRST(late_unsent(late))->until_ms, 0);
+	ck_assert_uint_eq(
+		TAILQ_FIRST(late_unsent(late, LATE_TO_MEMBERS))->until_ms, 0);
 	late_forget_runs(late);
 	ck_assert_uint_eq(late_until_ms(late, TASK), 0);
-	late_mark_sent(late);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 	ck_assert(late_is_empty(late));
 	/* Not if the task waits here for another start. */
 	late_note(late, TASK, WORKER, 5000, true);
@@ -122,6 +123,49 @@
 }
 END_TEST
 
+START_TEST(test_each_channel_is_told)
+{
+	late_note(late, TASK, WORKER, 5000, false);
+	late_note(late, OTHER, WORKER, 5000, false);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
+	late_mark_sent(late, LATE_TO_STORE, 1);
+	ck_assert_str_eq(TAILQ_FIRST(late_unsent(late, LATE_TO_STORE))->name,
+			 OTHER);
+	late_mark_sent(late, LATE_TO_STORE, SIZE_MAX);
+	ck_assert(TAILQ_EMPTY(late_unsent(late, LATE_TO_STORE)));
+	late_mark_unsent(late, LATE_TO_STORE);
+	ck_assert(TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)));
+	ck_assert(!TAILQ_EMPTY(late_unsent(late, LATE_TO_STORE)));
+	/* A withdrawal goes to each channel that had the task. */
+	late_withdraw(late, TASK);
+	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
+	ck_assert(late_first(late)->channels[LATE_TO_STORE].is_unsent);
+	late_mark_sent(late, LATE_TO_STORE, 1);
+	ck_assert_str_eq(late_first(late)->name, OTHER);
+}
+END_TEST
+
+/* A channel that is closed keeps no task beyond its time. */
+START_TEST(test_withdrawn_task_is_forgotten)
+{
+	late_note(late, TASK, WORKER, 5000, false);
+	late_mark_sent(late, LATE_TO_STORE, SIZE_MAX);
+	late_withdraw(late, TASK);
+	late_withdraw(late, TASK);
+	ck_assert(!late_expire(late, 4999, extend, NULL));
+	ck_assert(!late_is_empty(late));
+	ck_assert(!late_expire(late, 5000, extend, NULL));
+	ck_assert(late_is_empty(late));
+	/* A run that is open here does not wait after a withdrawn one. */
+	late_note(late, TASK, WORKER, 5000, false);
+	late_mark_sent(late, LATE_TO_STORE, SIZE_MAX);
+	late_withdraw(late, TASK);
+	late_forget_runs(late);
+	late_note(late, TASK, WORKER, 6000, false);
+	ck_assert_uint_eq(late_until_ms(late, TASK), 0);
+}
+END_TEST
+
 START_TEST(test_table_is_bounded)
 {
 	char name[STEP_JOB_TASK_BYTES];
@@ -140,10 +184,12 @@
 
 int main(void)
 {
-	return RUN_CASE("late_task", set_up, tear_down,
-			test_task_of_a_run_elsewhere_waits,
-			test_task_of_a_run_that_is_open_here,
-			test_each_time_is_told_once, test_time_is_extended,
-			test_known_start_is_withdrawn,
-			test_member_withdraws_its_own, test_table_is_bounded);
+	return RUN_CASE(
+		"late_task", set_up, tear_down,
+		test_task_of_a_run_elsewhere_waits,
+		test_task_of_a_run_that_is_open_here,
+		test_each_time_is_told_once, test_time_is_extended,
+		test_known_start_is_withdrawn, test_member_withdraws_its_own,
+		test_each_channel_is_told, test_withdrawn_task_is_forgotten,
+		test_table_is_bounded);
 }
--- a/packages/core/tests/test_lease_late_site.c
+++ b/packages/core/tests/test_lease_late_site.c
@@ -84,6 +84,7 @@
 PLAY(test_late_grants_and_partial_cuts, .partial_cuts = true)
 PLAY(test_late_grants_and_partial_cuts_with_relays, .partial_cuts = true,
      .direct_workers = 1)
+PLAY(test_late_grants_and_store_cuts, .store_cuts = true)
 
 static void open_log(void)
 {
@@ -107,6 +108,7 @@
 		test_late_grants_with_slow_clocks,
 		test_late_grants_and_partial_cuts,
 		test_late_grants_and_partial_cuts_with_relays,
+		test_late_grants_and_store_cuts,
 	};
 	Suite *suite = suite_create("lease_late_site");
 
--- a/packages/daemon/lease_control.c
+++ b/packages/daemon/lease_control.c
@@ -139,6 +139,13 @@
 		store_sync_refresh_workers(control->store);
 }
 
+static void port_keep_late_starts(void *ctx, const Bergamot__LateStarts *msg)
+{
+	struct lease_control *control = ctx;
+
+	store_sync_keep_late_starts(control->store, msg);
+}
+
 static void set_ports(struct lease_control *control)
 {
 	control->ports = (struct lease_node_ports){
@@ -151,6 +158,7 @@
 		.wall_ms = port_wall_ms,
 		.wake = port_wake,
 		.refresh_workers = port_refresh_workers,
+		.keep_late_starts = port_keep_late_starts,
 	};
 }
 
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -854,7 +854,8 @@
   ProtobufCMessage base;
   char *task;
   /*
-   * Time after which it can no longer have begun a run that is open.
+   * Time after which it can no longer have begun a run that is open; 0: it was
+   * carried out or refused after all.
    */
   uint32_t over_in_ms;
 };
@@ -865,17 +866,24 @@
 
 /*
  * Such tasks, from the leader to the members that may lead next as it notes
- * them, and from each member over a new link.
+ * them, and from each member over a new link. The leader keeps the same message
+ * in the store, for members that it does not reach.
  */
 struct  Bergamot__LateStarts
 {
   ProtobufCMessage base;
   size_t n_starts;
   Bergamot__LateStart **starts;
+  /*
+   * Rises from message to message of an instance: a member that has read this
+   * one over a link knows what the store's have up to this number. 0: it may
+   * not.
+   */
+  uint64_t number;
 };
 #define BERGAMOT__LATE_STARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__late_starts__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 typedef enum {
