core: a start without an answer is kept in the store after 0.06 s

The delay was there so that starts that are found in a list soon are not written. Now the first write comes 0.06 s after the change, and the next one 0.3 s after that.

--- a/packages/core/lease_node_late.c
+++ b/packages/core/lease_node_late.c
@@ -11,11 +11,10 @@
 #define MAX_OVER_MS 60000
 /* A member may lead by then, though it is no candidate when its link is new. */
 #define NEW_MEMBER_MS 10000
-/*
- * From a change to its writing, in which most starts without an answer are
- * found in a list; well below the 2 s after which orders are carried out late.
+/* From a change to its writing: most such starts are found in a list by then.
  */
-#define KEEP_DELAY_MS 300
+#define KEEP_DELAY_MS 60
+#define KEEP_INTERVAL_MS 300 /* between two writes */
 #define KEEP_RETRY_MS 1000
 #define MAX_TASKS_PER_KEY 4096 /* some 150 KB */
 
@@ -120,7 +119,8 @@
 	}
 	if (!lease_node->keep_due_ms)
 		lease_node->keep_due_ms = now_ms + KEEP_DELAY_MS;
-	return lease_node->keep_due_ms <= now_ms;
+	return lease_node->keep_due_ms <= now_ms &&
+	       now_ms - lease_node->kept_ms >= KEEP_INTERVAL_MS;
 }
 
 static void keep_in_store(struct lease_node *lease_node, uint64_t now_ms)
@@ -139,6 +139,7 @@
 	if (!is_keep_due(lease_node, now_ms))
 		return;
 	lease_node->keep_due_ms = 0;
+	lease_node->kept_ms = now_ms;
 	lease_node->is_keeping = true;
 	msg.number = ++lease_node->late_starts_number;
 	msg.starts = talloc_array(lease_node, Bergamot__LateStart *,
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -88,6 +88,7 @@
 	bool run_due; /* answers of relays may have freed workers */
 	uint64_t late_starts_number; /* of our last message on late starts */
 	uint64_t keep_due_ms; /* they are kept in the store then; 0: not due */
+	uint64_t kept_ms; /* time of the last write */
 	bool is_keeping; /* the store has not answered yet */
 	bool stopping;
 	uint64_t ends_ms; /* when all jobs are answered; 0: not stopping */
