core: a lost message on late starts is read from the store

A message over links now names the one before it, and a member counts as having read up to its number only if it has read that one, too.

--- a/packages/core/lease_node_late.c
+++ b/packages/core/lease_node_late.c
@@ -14,7 +14,7 @@
 /* From a change to its writing: most such starts are found in a list by then.
  */
 #define KEEP_DELAY_MS 60
-#define KEEP_INTERVAL_MS 300 /* between two writes */
+#define KEEP_INTERVAL_MS 200 /* between two writes */
 #define KEEP_RETRY_MS 1000
 #define MAX_TASKS_PER_KEY 4096 /* some 150 KB */
 
@@ -33,6 +33,7 @@
 	Bergamot__LateStart *rows[MAX_TASKS_PER_MESSAGE];
 	size_t count;
 	uint64_t to; /* a member; 0: all that may lead next */
+	uint64_t after; /* number of the message before these */
 	uint64_t now_ms;
 	TALLOC_CTX *mem;
 };
@@ -57,6 +58,7 @@
 		return;
 	msg.starts = rows->rows;
 	msg.n_starts = rows->count;
+	msg.after = rows->after;
 	rows->count = 0;
 	peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 	peer.late_starts = &msg;
@@ -100,10 +102,12 @@
 	if (TAILQ_EMPTY(late_unsent(late, LATE_TO_MEMBERS)))
 		return;
 	rows.mem = talloc_new(lease_node);
+	rows.after = lease_node->late_starts_sent;
 	TAILQ_FOREACH(task, late_unsent(late, LATE_TO_MEMBERS),
 		      channels[LATE_TO_MEMBERS].entry)
 		add_row(lease_node, &rows, task);
-	send_rows(lease_node, &rows, ++lease_node->late_starts_number);
+	lease_node->late_starts_sent = ++lease_node->late_starts_number;
+	send_rows(lease_node, &rows, lease_node->late_starts_sent);
 	talloc_free(rows.mem);
 	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 }
@@ -232,7 +236,8 @@
 {
 	struct leader_member *m = leader_find(lease_node->members, from);
 
-	if (m && msg->number > m->late_starts_number)
+	if (m && msg->after <= m->late_starts_number &&
+	    msg->number > m->late_starts_number)
 		m->late_starts_number = msg->number;
 	merge_late_starts(lease_node, from, msg, now_ms);
 }
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -87,6 +87,7 @@
 	uint64_t workers_followed_ms;
 	bool run_due; /* answers of relays may have freed workers */
 	uint64_t late_starts_number; /* of our last message on late starts */
+	uint64_t late_starts_sent; /* of the last one over links */
 	uint64_t keep_due_ms; /* they are kept in the store then; 0: not due */
 	uint64_t kept_ms; /* time of the last write */
 	bool is_keeping; /* the store has not answered yet */
--- a/packages/core/tests/test_lease_late_kept.c
+++ b/packages/core/tests/test_lease_late_kept.c
@@ -123,8 +123,8 @@
 }
 
 /* Reads a message with one task; over_in_ms is 0 for a withdrawal. */
-static void read_kept(uint64_t from, uint64_t number, uint32_t over_in_ms,
-		      bool over_link)
+static void read_message(uint64_t from, uint64_t number, uint32_t over_in_ms,
+			 uint64_t after, bool over_link)
 {
 	Bergamot__LateStart row = BERGAMOT__LATE_START__INIT;
 	Bergamot__LateStart *rows[] = { &row };
@@ -136,6 +136,7 @@
 	msg.starts = rows;
 	msg.n_starts = 1;
 	msg.number = number;
+	msg.after = after;
 	peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 	peer.late_starts = &msg;
 	if (over_link)
@@ -144,6 +145,16 @@
 		lease_node_late_starts_read(node, from, &msg, now_ms);
 }
 
+static void read_kept(uint64_t from, uint64_t number, uint32_t over_in_ms)
+{
+	read_message(from, number, over_in_ms, 0, false);
+}
+
+static void read_sent(uint64_t number, uint32_t over_in_ms, uint64_t after)
+{
+	read_message(MEMBER, number, over_in_ms, after, true);
+}
+
 static bool waits(void)
 {
 	return pool_late_until_ms(pool(), TASK) != 0;
@@ -206,9 +217,9 @@
 
 START_TEST(test_kept_start_makes_its_task_wait)
 {
-	read_kept(STRANGER, 3, 9000, false);
+	read_kept(STRANGER, 3, 9000);
 	ck_assert_uint_eq(pool_late_until_ms(pool(), TASK), now_ms + 9000);
-	read_kept(STRANGER, 4, 0, false);
+	read_kept(STRANGER, 4, 0);
 	ck_assert(!waits());
 }
 END_TEST
@@ -216,7 +227,7 @@
 /* Its own messages tell an instance nothing. */
 START_TEST(test_own_message_is_not_read)
 {
-	read_kept(OWN, 1, 9000, false);
+	read_kept(OWN, 1, 9000);
 	ck_assert(!waits());
 }
 END_TEST
@@ -224,13 +235,23 @@
 /* The store is read later than the link, and must not put a state back. */
 START_TEST(test_older_message_in_the_store_changes_nothing)
 {
-	read_kept(MEMBER, 4, 9000, true);
-	read_kept(MEMBER, 3, 0, false);
+	read_sent(4, 9000, 0);
+	read_kept(MEMBER, 3, 0);
 	ck_assert(waits());
-	read_kept(MEMBER, 5, 0, true);
-	read_kept(MEMBER, 4, 9000, false);
+	read_sent(5, 0, 4);
+	read_kept(MEMBER, 4, 9000);
 	ck_assert(!waits());
-	read_kept(MEMBER, 6, 9000, false);
+	read_kept(MEMBER, 6, 9000);
+	ck_assert(waits());
+}
+END_TEST
+
+/* The link has lost message 5; the store has what was in it. */
+START_TEST(test_message_in_the_store_replaces_a_lost_one)
+{
+	read_sent(4, 0, 0);
+	read_sent(7, 0, 5);
+	read_kept(MEMBER, 6, 9000);
 	ck_assert(waits());
 }
 END_TEST
@@ -263,5 +284,6 @@
 			test_kept_start_makes_its_task_wait,
 			test_own_message_is_not_read,
 			test_older_message_in_the_store_changes_nothing,
+			test_message_in_the_store_replaces_a_lost_one,
 			test_member_that_missed_a_message_reads_the_store);
 }
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -5224,7 +5224,7 @@
   (ProtobufCMessageInit) bergamot__late_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__late_starts__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bergamot__late_starts__field_descriptors[3] =
 {
   {
     "starts",
@@ -5250,15 +5250,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__LateStarts, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__late_starts__field_indices_by_name[] = {
+  2,   /* field[2] = after */
   1,   /* field[1] = number */
   0,   /* field[0] = starts */
 };
 static const ProtobufCIntRange bergamot__late_starts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bergamot__late_starts__descriptor =
 {
@@ -5268,7 +5281,7 @@
   "Bergamot__LateStarts",
   "bergamot",
   sizeof(Bergamot__LateStarts),
-  2,
+  3,
   bergamot__late_starts__field_descriptors,
   bergamot__late_starts__field_indices_by_name,
   1,  bergamot__late_starts__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -876,14 +876,18 @@
   Bergamot__LateStart **starts;
   /*
    * Rises from message to message of an instance: a member that has read this
-   * one over a link knows what the store's have up to this number. 0: it may
-   * not.
+   * one over a link, and all before it, knows what the store's have up to this
+   * number. 0: it may not.
    */
   uint64_t number;
+  /*
+   * Number of the message before it over links; 0: this one has all.
+   */
+  uint64_t after;
 };
 #define BERGAMOT__LATE_STARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__late_starts__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 typedef enum {
