core: a request that joins a key's job is answered by its deadline

A caller that submits with an idempotency key waits longer than its deadline (0.45 s in the case found) if another instance has submitted the same key before and that submission was under way to the owner for a while.

Cause: the owner counts a job's deadline from the arrival of its first submission. A request of the owner's own caller whose claim then shows that job waits for its end; claims were dropped at that point, and nothing else knows when that caller's time is over. Requests at other instances have a forward with a time of its own, and submissions without a key come after the job, so that their deadline is later.

Now the claim stays while its request waits for a job here, and at its deadline the request is answered as a forward is (unknown, no answer yet); the job goes on. A planned stop does not wait for such a claim, as it waits for the job.

--- a/packages/core/node.c
+++ b/packages/core/node.c
@@ -309,7 +309,7 @@
 #ifdef BREAK_IDLE
 	return true;
 #endif
-	return !node->forwards && !node->claims &&
+	return !node->forwards && !node_has_open_claims(node) &&
 	       !dispatch_jobs(node->dispatch);
 }
 
--- a/packages/core/node_claim.c
+++ b/packages/core/node_claim.c
@@ -55,17 +55,36 @@
 	node->ports->claim_key(node->ports->ctx, claim->number, key, fresh[0]);
 }
 
+/* The record of the job that the claim waits for here; NULL: there is none. */
+static struct record *find_record(struct node *node,
+				  const struct node_claim *claim)
+{
+	struct job_id id;
+
+	if (job_id_parse(&id, claim->job, node->system) != JOB_ID_OK)
+		return NULL;
+	return record_find(node->records, &id);
+}
+
+/*
+ * The claim stays while its request waits for a job of this instance, as that
+ * may have a later deadline: its first submission came from another instance
+ * and was under way for a time that nobody knows.
+ */
 static void submit_claimed(struct node *node, struct node_claim *claim,
 			   const char *id)
 {
 	struct job_request *job = talloc_steal(NULL, claim->body);
-	uint64_t request = claim->request;
 	uint64_t wait_ms = claim->expires_ms - node->now_ms;
-	char text[JOB_ID_TEXT_BYTES];
+	struct record *record;
 
-	snprintf(text, sizeof(text), "%s", id);
-	drop_claim(node, claim);
-	node_submit_within(node, request, text, job, wait_ms);
+	claim->body = NULL;
+	if (id != claim->job)
+		snprintf(claim->job, sizeof(claim->job), "%s", id);
+	node_submit_within(node, claim->request, claim->job, job, wait_ms);
+	record = find_record(node, claim);
+	if (!record || !record->job)
+		drop_claim(node, claim);
 }
 
 void node_key_claimed(struct node *node, uint64_t number,
@@ -77,7 +96,7 @@
 
 	node->now_ms = now_ms;
 	HASH_FIND(hh, node->claims, &number, sizeof(number), claim);
-	if (!claim)
+	if (!claim || !claim->body)
 		return;
 	request = claim->request;
 #ifndef BREAK_KEY_LATE
@@ -108,6 +127,27 @@
 			     OUTCOME_PLATFORM_OUT_REASON);
 }
 
+/* The job goes on; its outcome is kept for a later submission. */
+static void answer_late(struct node *node, const struct node_claim *claim)
+{
+	struct node_origin origin = { 0, claim->request };
+	struct record *record = find_record(node, claim);
+
+	if (record && record_remove_waiter(record, 0, claim->request))
+		node_answer_with(node, &origin, claim->job, OUTCOME_UNKNOWN,
+				 OUTCOME_NO_ANSWER_YET_REASON);
+}
+
+bool node_has_open_claims(const struct node *node)
+{
+	const struct node_claim *claim;
+
+	for (claim = node->claims; claim; claim = claim->hh.next)
+		if (claim->body)
+			return true;
+	return false;
+}
+
 void node_expire_claims(struct node *node)
 {
 	struct node_claim *claim, *next;
@@ -117,6 +157,11 @@
 
 		if (claim->expires_ms > node->now_ms)
 			continue;
+		if (!claim->body) {
+			answer_late(node, claim);
+			drop_claim(node, claim);
+			continue;
+		}
 		drop_claim(node, claim);
 		answer_claim(node, request, OUTCOME_UNKNOWN,
 			     OUTCOME_PLATFORM_OUT_REASON);
--- a/packages/core/node_state.h
+++ b/packages/core/node_state.h
@@ -64,7 +64,7 @@
 	uint64_t request; /* the local caller's */
 	uint64_t expires_ms; /* the caller's deadline */
 	char job[JOB_ID_TEXT_BYTES];
-	struct job_request *body;
+	struct job_request *body; /* NULL: waits for the job of the key's id */
 };
 
 /* Ids of a dispatcher that this instance may issue. */
@@ -284,6 +284,9 @@
 /* Answers submissions whose key was not claimed by their deadline. */
 void node_expire_claims(struct node *node);
 
+/* Returns true if a key's claim has not been answered. */
+bool node_has_open_claims(const struct node *node);
+
 /* node_handover.c */
 
 void node_create_handover(struct node *node);
--- a/packages/core/record.c
+++ b/packages/core/record.c
@@ -111,6 +111,21 @@
 	STAILQ_INSERT_TAIL(&record->waiters, w, entry);
 }
 
+bool record_remove_waiter(struct record *record, uint64_t peer,
+			  uint64_t request)
+{
+	struct record_waiter *w;
+
+	STAILQ_FOREACH(w, &record->waiters, entry) {
+		if (w->peer != peer || w->request != request)
+			continue;
+		STAILQ_REMOVE(&record->waiters, w, record_waiter, entry);
+		talloc_free(w);
+		return true;
+	}
+	return false;
+}
+
 void record_finish(struct record_table *table, struct record *record,
 		   const struct outcome *outcome, uint64_t now_ms)
 {
--- a/packages/core/record.h
+++ b/packages/core/record.h
@@ -59,6 +59,10 @@
 /* Adds a request that waits for the outcome; peer 0 is this instance. */
 void record_add_waiter(struct record *record, uint64_t peer, uint64_t request);
 
+/* Returns false if no such request waits, such as after the outcome. */
+bool record_remove_waiter(struct record *record, uint64_t peer,
+			  uint64_t request);
+
 /*
  * Sets the outcome and copies its results. The record keeps the results for
  * answer_ms, and only the outcome after that.
--- a/packages/core/tests/test_handover.c
+++ b/packages/core/tests/test_handover.c
@@ -247,6 +247,26 @@
 }
 END_TEST
 
+/*
+ * The key's job came from another instance and was under way for 0.5 s, so that
+ * its deadline is later than that of a request that joins it here.
+ */
+START_TEST(test_joined_key_is_answered_by_its_deadline)
+{
+	static const int nodes[] = { 1, 0 };
+	int r;
+
+	fakes_submit_keyed(f, nodes[0], 2);
+	fakes_answer_claim(f, PORT_PLATFORM_OK, false);
+	r = fakes_submit_keyed(f, nodes[1], 2);
+	fakes_advance(f, 500);
+	fakes_deliver_all(f);
+	fakes_answer_claim(f, PORT_PLATFORM_OK, false);
+	fakes_finish(f);
+	ck_assert_int_eq(outcome_kind(r), OUTCOME_UNKNOWN);
+}
+END_TEST
+
 /*
  * An entry whose key claim is granted after the job's deadline, as after a long
  * pause, must not start the job.
@@ -364,5 +384,6 @@
 			test_entry_waits_for_answers, test_successor_killed,
 			test_successor_ack_timeout, test_both_stop,
 			test_nobody_left, test_expired_is_unknown, test_keys,
+			test_joined_key_is_answered_by_its_deadline,
 			test_key_granted_late, test_parts_lost_and_resent);
 }
