--- a/tests/system/leased_standins.py
+++ b/tests/system/leased_standins.py
@@ -157,7 +157,7 @@
                for w in body["writes"]):
             return 404, {}
         for write in body["writes"]:
-            self.put(write["key"], base64.b64decode(write["value"]).decode(),
+            self.put(write["key"], base64.b64decode(write["value"]),
                      write.get("lease", 0))
         return 200, {"rev": self.revision}
 
