--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -317,6 +317,8 @@
 		row->over_in_ms = (uint32_t)next_number(in);
 		late->starts[i] = row;
 	}
+	late->number = next_number(in);
+	late->after = next_number(in);
 }
 
 static void fill_failed(struct input *in, Bergamot__FailedRun ***rows,
@@ -392,6 +394,10 @@
 		break;
 	case 10:
 		fill_late_starts(in, &late);
+		if (late.number % 2) {
+			lease_node_late_starts_read(node, from, &late, now_ms);
+			return;
+		}
 		peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 		peer.late_starts = &late;
 		break;
