core/tests: a leader that is lost before its late starts are in the store

The mutant BREAK_TELL_LATE (links tell nothing) was missed since the store tells the next leader of the three orders that caught it. Two orders in which the leader is killed 40 ms after it has sent the start, before it writes: both give two runs with that mutant, none without.

--- a/packages/core/tests/test_lease_restart.c
+++ b/packages/core/tests/test_lease_restart.c
@@ -59,6 +59,11 @@
 	"1500:restart_worker(0,3450)",
 	"1 1 0 0 0 0 0:delay_start(0,5000) 900:stop(0,0) "
 	"1500:restart_worker(0,3450)",
+	/* The same before the start is kept in the store. */
+	"0 1 0 0 0 0 0:delay_start(0,5000) 40:kill(0,0) "
+	"1500:restart_worker(0,3450)",
+	"1 1 0 0 0 0 0:delay_start(0,5000) 40:kill(0,0) "
+	"1500:restart_worker(0,3450)",
 };
 
 START_TEST(test_two_runs_after_a_delayed_start_and_a_restart)
