core, docs: late starts reworded

From a reading of the diff as a newcomer: comments of the delay before a write, of the order in which messages are read, and of what late_mark_unsent is for; braces around a loop's body; the glossary has "late start". No change of behaviour.

--- a/packages/core/late_task.h
+++ b/packages/core/late_task.h
@@ -97,7 +97,10 @@
 void late_mark_sent(struct late_tasks *late, enum late_channel channel,
 		    size_t count);
 
-/* Nothing that was sent over the channel is known to have arrived. */
+/*
+ * All tasks noted here are to be sent over the channel again, as what was sent
+ * may not have arrived.
+ */
 void late_mark_unsent(struct late_tasks *late, enum late_channel channel);
 
 #endif
--- a/packages/core/leader_member.h
+++ b/packages/core/leader_member.h
@@ -80,9 +80,8 @@
 	uint64_t offered_ms;
 	uint64_t beat_due_ms;
 	uint64_t listed_ms; /* time of the last beat with addresses; 0: none */
-	bool missed_late_starts; /* some were not sent over its link */
-	/* Its messages on late starts were read up to this number. */
-	uint64_t late_starts_number;
+	bool missed_late_starts; /* some of ours were not sent over its link */
+	uint64_t late_starts_number; /* of the last of its messages read */
 };
 
 struct leader_options {
--- a/packages/core/lease_node.h
+++ b/packages/core/lease_node.h
@@ -188,7 +188,10 @@
 void lease_node_late_starts_kept(struct lease_node *lease_node, bool is_kept,
 				 uint64_t now_ms);
 
-/* An instance has kept a message; those of one instance in their order. */
+/*
+ * Handles a message that an instance has kept; to be called in the order in
+ * which that instance has kept them.
+ */
 void lease_node_late_starts_read(struct lease_node *lease_node, uint64_t from,
 				 const Bergamot__LateStarts *msg,
 				 uint64_t now_ms);
--- a/packages/core/lease_node_late.c
+++ b/packages/core/lease_node_late.c
@@ -11,7 +11,9 @@
 #define MAX_OVER_MS 60000
 /* A member may lead by then, though it is no candidate when its link is new. */
 #define NEW_MEMBER_MS 10000
-/* From a change to its writing: most such starts are found in a list by then.
+/*
+ * From a change to its writing in the store: most starts without an answer are
+ * found in a worker's list by then.
  */
 #define KEEP_DELAY_MS 60
 #define KEEP_INTERVAL_MS 200 /* between two writes */
@@ -62,12 +64,13 @@
 	rows->count = 0;
 	peer.body_case = BERGAMOT__PEER__BODY_LATE_STARTS;
 	peer.late_starts = &msg;
-	for (m = leader_members(lease_node->members); m; m = m->hh.next)
+	for (m = leader_members(lease_node->members); m; m = m->hh.next) {
 		if (rows->to ? m->incarnation == rows->to
 			     : may_lead_next(m, rows->now_ms))
 			send_rows_to(lease_node, m, number, &peer);
 		else if (!rows->to)
 			m->missed_late_starts = true;
+	}
 }
 
 static Bergamot__LateStart *pack_row(TALLOC_CTX *mem, struct late_task *task,
@@ -112,7 +115,7 @@
 	late_mark_sent(late, LATE_TO_MEMBERS, SIZE_MAX);
 }
 
-/* Returns true if unsent tasks are to be kept now. */
+/* Returns true if there are tasks that should be written to the store now. */
 static bool is_keep_due(struct lease_node *lease_node, uint64_t now_ms)
 {
 	if (lease_node->is_keeping)
