core: entries name the workers of tasks to the next leader

Cause: the next leader skips the wait for earlier leaders' runs once all workers are held. That are those on its list and those removed in the last 30 s. After a longer cut two leaders have led at the same time, over workers that the other one has dropped: the list proves nothing of them. The same holds where only the store has lost a worker and its leader.

Ruled out: a lapse (no lease had lapsed), and the majority (one leader gave up in favour of the other at once).

Change: the messages that tell an entry of starts name the worker. The entry keeps it for each task until the run has ended, and hands it on with the job. A task with such a worker waits until that worker has listed its runs to the new leader, or until the earlier runs have lapsed. Why it works: the entry outlives its leader and has the name before the run can matter; no list is needed, and the wait is bounded as before.

--- a/packages/core/lease_dispatch.c
+++ b/packages/core/lease_dispatch.c
@@ -420,6 +420,7 @@
 	/* A run closes once: it counts also without room to note its number. */
 	if (how == POOL_FAILED && !note_failed(task, run->number))
 		task->failures++;
+	lease_on_run_ended(task, run->number);
 	if (!fail_if_spent(task, now_ms))
 		give_up_late(job, task, now_ms);
 }
@@ -621,6 +622,7 @@
 	dispatch->waiting_tasks += job->waiting;
 	lease_tell_waiter(job, &from->waiter, &from->open, now_ms);
 	lease_merge_starts(job, from, now_ms);
+	lease_merge_places(job, from, now_ms);
 	return job;
 }
 
@@ -666,6 +668,7 @@
 		return true; /* a second run of its task: the pool stops it */
 	begin_running(task);
 	task->run = run;
+	task->former_worker = 0;
 	/* Each number stands for one run: a failed one counts by it. */
 	if (run->number >= task->next_number)
 		task->next_number = run->number + 1;
@@ -815,8 +818,10 @@
 		wait_for_earlier_runs(dispatch, job, from, now_ms);
 		lease_tell_waiter(job, &from->waiter, &from->open, now_ms);
 		/* Of our own starts we know more than the entry. */
-		if (was_elsewhere(job, from))
+		if (was_elsewhere(job, from)) {
 			lease_merge_starts(job, from, now_ms);
+			lease_merge_places(job, from, now_ms);
+		}
 		if (is_same_waiter(&job->origin, &from->waiter))
 			job->handed = from->handed;
 		log_info(LOG_JOB,
@@ -1141,12 +1146,30 @@
 	return count;
 }
 
+/*
+ * Returns true while an earlier leader's run of the task may be open at a
+ * worker that has not listed its runs to this instance since the job came.
+ */
+static bool awaits_former_worker(const struct lease_dispatch *dispatch,
+				 const struct task *task, uint64_t now_ms)
+{
+	const struct lease_job *job = task->job;
+
+#ifdef BREAK_FORMER_WORKER
+	return false;
+#endif
+	return task->former_worker && now_ms < job->earlier_runs_over_ms &&
+	       !pool_has_listed(dispatch->pool, task->former_worker,
+				job->probe_after_ms);
+}
+
 static bool may_start_task(const struct lease_dispatch *dispatch,
-			   const struct task *task)
+			   const struct task *task, uint64_t now_ms)
 {
 	char name[STEP_JOB_TASK_BYTES];
 
-	if (task->state != TASK_WAITING)
+	if (task->state != TASK_WAITING ||
+	    awaits_former_worker(dispatch, task, now_ms))
 		return false;
 	if (!pool_has_unneeded_runs(dispatch->pool))
 		return true;
@@ -1240,7 +1263,7 @@
 		struct task *task = &state->tasks[i];
 		struct pool_worker *worker;
 
-		if (!may_start_task(dispatch, task) ||
+		if (!may_start_task(dispatch, task, now_ms) ||
 		    !lease_may_start(dispatch, task, now_ms))
 			continue;
 		request.avoid = task->avoid;
--- a/packages/core/lease_dispatch.h
+++ b/packages/core/lease_dispatch.h
@@ -11,6 +11,7 @@
 #include "core/lease_pool.h"
 #include "core/open_starts.h"
 #include "core/step_job.h"
+#include "core/task_places.h"
 
 /*
  * The leader's job dispatcher: orders waiting jobs, starts their tasks on
@@ -74,6 +75,7 @@
 	uint64_t no_start_in_ms; /* until none of them starts a task of it */
 	struct failed_runs failed; /* under these leaders, as far as known */
 	struct open_starts open; /* under these leaders */
+	struct task_places places; /* under these leaders */
 	const char *text;
 	const struct job_step *steps;
 	uint32_t step_count;
@@ -94,7 +96,10 @@
 	struct failed_runs runs; /* the entry may have some of them */
 };
 
-/* A start of a waiter's job, or with over_ms 0 that its outcome is known. */
+/*
+ * A start of a waiter's job, or with over_ms 0 that its outcome is known or its
+ * run has ended.
+ */
 struct lease_start {
 	struct lease_waiter waiter;
 	const char *id;
--- a/packages/core/lease_dispatch_start.c
+++ b/packages/core/lease_dispatch_start.c
@@ -56,6 +56,18 @@
 	tell_start(task->job, &start);
 }
 
+void lease_on_run_ended(const struct task *task, uint32_t number)
+{
+	struct open_start start = {
+		.step = task->step,
+		.index = task->index,
+		.number = number,
+		.has_ended = true,
+	};
+
+	tell_start(task->job, &start);
+}
+
 static void tell_settled(const struct task *task, uint32_t number)
 {
 	struct open_start start = {
@@ -82,6 +94,18 @@
 	tell_settled(run->task, run->number);
 }
 
+/* Tells the entry of a new waiter of a run, and of its start. */
+static void tell_waiter_of_run(const struct task *task,
+			       const struct lease_waiter *waiter)
+{
+	const struct pool_run *run = task->run;
+	struct open_start start = describe_start(task, run);
+
+	if (!run->started_here || (run->answered_ms && !run->repeats))
+		start.over_ms = 0;
+	tell_entry(task->job, waiter, &start);
+}
+
 /*
  * Notes a start for the entry of a new waiter only: the tasks wait for it, or
  * it has no answer so far.
@@ -91,19 +115,16 @@
 				const struct open_starts *known,
 				uint64_t now_ms)
 {
-	const struct pool_run *run = task->run;
 	struct lease_pool *pool = task->job->dispatch->pool;
 	const struct late_task *late;
 	char name[STEP_JOB_TASK_BYTES];
-	struct open_start start, waiting_for = {
+	struct open_start waiting_for = {
 		.step = task->step,
 		.index = task->index,
 	};
 
-	if (run && run->started_here && (!run->answered_ms || run->repeats)) {
-		start = describe_start(task, run);
-		tell_entry(task->job, waiter, &start);
-	}
+	if (task->run)
+		tell_waiter_of_run(task, waiter);
 	lease_name_task(name, task);
 	late = late_find(pool_late_tasks(pool), name);
 	if (!late || !late->waits || late->until_ms <= now_ms)
@@ -170,6 +191,51 @@
 	}
 }
 
+/* Returns the task at a place in the order of the steps. */
+static struct task *find_nth_task(struct lease_job *job, uint32_t n)
+{
+	uint32_t s = 0;
+
+	for (; n >= job->steps[s].count; s++)
+		n -= job->steps[s].count;
+	return &job->states[s].tasks[n];
+}
+
+void lease_merge_places(struct lease_job *job,
+			const struct lease_submission *from, uint64_t now_ms)
+{
+	const struct lease_pool *pool = job->dispatch->pool;
+	uint32_t known = 0, unlisted = 0;
+
+	if (from->places.count && from->places.count != job->tasks) {
+		log_warning(LOG_JOB,
+			    "job %s: dropped the workers that its entry hands "
+			    "on: there are %u of them for %u tasks",
+			    job->id, from->places.count, job->tasks);
+		return;
+	}
+	for (uint32_t i = 0; i < from->places.count; i++) {
+		uint64_t worker = from->places.workers[i];
+		struct task *task = find_nth_task(job, i);
+
+		if (!worker || task->state != TASK_WAITING)
+			continue;
+		task->former_worker = worker;
+		known++;
+		unlisted += !pool_has_listed(pool, worker, 0);
+	}
+	if (known)
+		log_info(LOG_JOB,
+			 "job %s: entry %016" PRIx64
+			 " names the workers of %u tasks, %u of which are not "
+			 "held here; these tasks wait %" PRIu64
+			 " ms at most for the lists of their workers",
+			 job->id, from->waiter.entry, known, unlisted,
+			 job->earlier_runs_over_ms > now_ms
+				 ? job->earlier_runs_over_ms - now_ms
+				 : 0);
+}
+
 void lease_note_open_starts(struct lease_dispatch *dispatch, uint64_t entry,
 			    const char *id, const struct open_starts *starts,
 			    uint64_t now_ms)
--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -27,6 +27,8 @@
 	uint32_t next_number;
 	char *avoid; /* id of the worker where it failed last; or NULL */
 	enum crash_verdict verdict; /* by its record */
+	/* Key of the worker that may run it for an earlier leader; 0: none. */
+	uint64_t former_worker;
 };
 
 struct step_state {
@@ -156,12 +158,16 @@
 void lease_on_start_sent(void *ctx, const struct pool_run *run);
 void lease_on_start_settled(void *ctx, const struct pool_run *run);
 
+/* Tells the entries of a task's job that a run of it has ended, but not done.
+ */
+void lease_on_run_ended(const struct task *task, uint32_t number);
+
 /* A run of an earlier leader was found, or its end. */
 void lease_on_found(const struct task *task, uint32_t number);
 
 /*
- * Tells the entry of a new waiter of starts that have no answer so far, or that
- * tasks wait for, unless it knows them.
+ * Tells the entry of a new waiter where the tasks run, and of starts that have
+ * no answer so far, or that tasks wait for, unless it knows them.
  */
 void lease_tell_waiter(const struct lease_job *job,
 		       const struct lease_waiter *waiter,
@@ -174,6 +180,13 @@
 void lease_merge_starts(struct lease_job *job,
 			const struct lease_submission *from, uint64_t now_ms);
 
+/*
+ * Notes the workers that may run tasks for earlier leaders, as an entry hands
+ * them on with its job. These workers may be on no list of this instance.
+ */
+void lease_merge_places(struct lease_job *job,
+			const struct lease_submission *from, uint64_t now_ms);
+
 /* lease_dispatch_crash.c */
 
 /* The pool's worker_gone option: notes for each run how the worker went. */
--- a/packages/core/lease_node_peer.c
+++ b/packages/core/lease_node_peer.c
@@ -296,6 +296,8 @@
 	msg.n_failed = job->failed.count;
 	msg.open_starts = lease_node_pack_starts(mem, &job->open, now_ms);
 	msg.n_open_starts = job->open.count;
+	msg.workers = job->places.workers;
+	msg.n_workers = job->places.count;
 	msg.spec.data = (uint8_t *)job->job->text;
 	msg.spec.len = strlen(job->job->text);
 	msg.n_steps = job->job->step_count;
@@ -415,6 +417,7 @@
 		.handed = msg->handed,
 		.closed_in_ms = msg->closed_in_ms,
 		.no_start_in_ms = msg->no_start_in_ms,
+		.places = { msg->workers, (uint32_t)msg->n_workers },
 		.text = talloc_strndup(mem, (const char *)msg->spec.data,
 				       msg->spec.len),
 		.steps = steps,
--- a/packages/core/lease_node_start.c
+++ b/packages/core/lease_node_start.c
@@ -42,6 +42,8 @@
 		.number = row->run,
 		.over_ms = row->over_in_ms ? now_ms + row->over_in_ms : 0,
 		.is_repeated = row->repeated,
+		.worker = row->worker,
+		.has_ended = row->ended,
 	};
 }
 
@@ -171,6 +173,19 @@
 				      ended->leader != from);
 }
 
+/*
+ * Keeps where a task runs. is_late: another leader has the job by now, and may
+ * have started the task since.
+ */
+static void note_place(struct lease_node_job *job,
+		       const struct open_start *start, bool is_late)
+{
+	if (start->has_ended ? is_late : !start->worker)
+		return;
+	task_places_set(job, &job->places, job->job, start->step, start->index,
+			start->has_ended ? 0 : start->worker, is_late);
+}
+
 /* Keeps a start with its job, for the next leader, or strikes it out. */
 static void note_start(struct lease_node *lease_node, uint64_t from,
 		       uint64_t request, const struct open_start *start)
@@ -184,14 +199,16 @@
 		return;
 	}
 	fault = find_fault(job, from, start);
-	if (fault)
+	if (fault) {
 		log_warning(LOG_PEER,
 			    "job %s: dropped a start that member %016" PRIx64
 			    " tells: %s",
 			    job->id, from, fault);
-	else
-		add_or_settle(lease_node, job, job->id, &job->open, start,
-			      from != job->sent_to);
+		return;
+	}
+	note_place(job, start, job->sent_to && from != job->sent_to);
+	add_or_settle(lease_node, job, job->id, &job->open, start,
+		      from != job->sent_to);
 }
 
 static void send_batch(struct lease_node *lease_node,
@@ -266,6 +283,8 @@
 			batch->count ? batch->count * 2 : 8);
 	batch->rows[batch->count] =
 		pack_row(batch, &start->row, lease_node->active_ms);
+	batch->rows[batch->count]->worker = start->row.worker;
+	batch->rows[batch->count]->ended = start->row.has_ended;
 	batch->rows[batch->count++]->request = start->waiter.request;
 	if (!start->row.over_ms || batch->has_start)
 		return;
--- a/packages/core/lease_node_state.h
+++ b/packages/core/lease_node_state.h
@@ -39,6 +39,7 @@
 	uint64_t no_start_ms; /* by when none of them starts a task of it */
 	struct failed_runs failed; /* under these leaders and the present one */
 	struct open_starts open; /* the same */
+	struct task_places places; /* the same */
 };
 
 /*
--- a/packages/core/lease_pool.c
+++ b/packages/core/lease_pool.c
@@ -611,6 +611,15 @@
 	return since_ms;
 }
 
+bool pool_has_listed(const struct lease_pool *pool, uint64_t key,
+		     uint64_t since_ms)
+{
+	const struct pool_worker *worker = pool_find_by_key(pool, key);
+
+	return worker && worker->state == POOL_HELD && !worker->failures &&
+	       worker->probed_ms >= since_ms;
+}
+
 bool pool_has_unanswered(const struct lease_pool *pool, uint64_t now_ms)
 {
 	const struct pool_worker *worker;
--- a/packages/core/lease_pool.h
+++ b/packages/core/lease_pool.h
@@ -437,6 +437,13 @@
 			     enum pool_gap *gap,
 			     const struct pool_worker **worker);
 
+/*
+ * Returns true if the worker with that key is held and has answered a hold that
+ * was sent at since_ms or later: what runs there is known.
+ */
+bool pool_has_listed(const struct lease_pool *pool, uint64_t key,
+		     uint64_t since_ms);
+
 /*
  * Returns true if a registered worker has not answered since this instance
  * leads, or has only just been found to obey another instance.
--- a/packages/core/open_starts.h
+++ b/packages/core/open_starts.h
@@ -27,7 +27,8 @@
 	uint32_t number; /* of the run; 0: not known, it is never struck out */
 	uint64_t over_ms; /* it can have begun no run that is open then */
 	bool is_repeated; /* the outcome of one start says nothing of others */
-	uint64_t worker; /* its key; 0: not known, as at entries */
+	uint64_t worker; /* key of the one that runs the task; 0: not told */
+	bool has_ended; /* the run has */
 };
 
 struct open_starts {
--- a/packages/core/tests/fake_scenario.c
+++ b/packages/core/tests/fake_scenario.c
@@ -67,6 +67,8 @@
 	[SCENARIO_JOIN] = "join",
 	[SCENARIO_OVERLOAD] = "overload",
 	[SCENARIO_HANG_UP] = "hang_up",
+	[SCENARIO_CUT_STORE] = "cut_store",
+	[SCENARIO_WAIT] = "wait",
 };
 
 enum call_kind { CALL_HOLD, CALL_START, CALL_STOP, CALL_KINDS };
@@ -146,6 +148,7 @@
 	uint64_t overloaded_until_ms;
 	bool flush_due;
 	struct fake_store_reader reader;
+	bool is_store_cut;
 	bool leads; /* as last traced */
 	uint64_t linked[SCENARIO_NODES]; /* incarnations; 0: no link */
 	/* What this side of a link sends is lost until then; 0: it is not. */
@@ -1126,6 +1129,23 @@
 	return changed;
 }
 
+/* Instances read the changes of the list that they have missed. */
+static bool heal_stores(struct play *play)
+{
+	bool changed = false;
+
+	for (int i = 0; i < SCENARIO_NODES; i++) {
+		struct node *node = &play->nodes[i];
+
+		if (!node->is_store_cut)
+			continue;
+		changed = true;
+		node->is_store_cut = false;
+		port_refresh_workers(node);
+	}
+	return changed;
+}
+
 static bool heal(struct play *play)
 {
 	bool changed = heal_workers(play);
@@ -1147,6 +1167,7 @@
 			unlink_nodes(play, y, x);
 		}
 	deliver_kept(play);
+	changed |= heal_stores(play);
 	return changed;
 }
 
@@ -1297,6 +1318,8 @@
 	return set_cut(&play->workers[f->a].delays[kind].is_set);
 }
 
+static void step(struct play *play);
+
 static bool apply_fault(struct play *play, const struct scenario_fault *f)
 {
 	struct node *node = &play->nodes[f->a % SCENARIO_NODES];
@@ -1347,6 +1370,12 @@
 		return drain_worker(play, w);
 	case SCENARIO_UNREGISTER:
 		return unregister_worker(play, w, f->b);
+	case SCENARIO_CUT_STORE:
+		return set_cut(&node->is_store_cut);
+	case SCENARIO_WAIT:
+		for (uint32_t i = 0; i < f->b; i++)
+			step(play);
+		return f->at_ms == 0;
 	case SCENARIO_JOIN:
 		return join_worker(play, &play->workers[f->b], node);
 	case SCENARIO_LIST_LATE:
@@ -1412,7 +1441,8 @@
 		list_unread_worker(play, node, e->worker);
 		break;
 	case EV_REFRESHED:
-		refresh_workers(play, node, e->sent_ms);
+		if (!node->is_store_cut)
+			refresh_workers(play, node, e->sent_ms);
 		break;
 	case EV_KEPT:
 		lease_node_late_starts_kept(node->lease_node, true,
@@ -1434,7 +1464,8 @@
 					       play->now_ms);
 		break;
 	default:
-		list_worker(play, node, e->worker);
+		if (!node->is_store_cut)
+			list_worker(play, node, e->worker);
 	}
 }
 
--- a/packages/core/tests/fake_scenario.h
+++ b/packages/core/tests/fake_scenario.h
@@ -60,6 +60,10 @@
 	SCENARIO_JOIN,
 	SCENARIO_OVERLOAD, /* instance a's loop is late for b ms */
 	SCENARIO_HANG_UP, /* the caller's connection is lost */
+	/* Instance a no longer reads the list of workers, until SCENARIO_HEAL.
+	 */
+	SCENARIO_CUT_STORE,
+	SCENARIO_WAIT, /* b ms, before the job is sent; at 0 only */
 	SCENARIO_KIND_COUNT,
 };
 
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -34,6 +34,7 @@
 static uint32_t sent_starts; /* open ones of the last job */
 static uint32_t sent_start_run; /* of the first of them */
 static uint32_t sent_over_in_ms; /* the same */
+static uint64_t sent_worker; /* of the last job's first task; 0: none */
 static uint32_t cancels; /* of any job, sent to LEADER + 1 */
 static uint32_t cancel_starts; /* open ones, in the last of them */
 static uint32_t late_rows; /* of late starts, sent to LEADER + 1 */
@@ -67,6 +68,8 @@
 	sent_attempt = msg->queue_job->attempt;
 	sent_starts = (uint32_t)msg->queue_job->n_open_starts;
 	sent_start_run = sent_over_in_ms = 0;
+	sent_worker =
+		msg->queue_job->n_workers ? msg->queue_job->workers[0] : 0;
 	if (sent_starts) {
 		sent_start_run = msg->queue_job->open_starts[0]->run;
 		sent_over_in_ms = msg->queue_job->open_starts[0]->over_in_ms;
@@ -448,6 +451,8 @@
 	uint32_t step, index, run;
 	uint32_t over_in_ms;
 	bool repeated;
+	uint64_t worker;
+	bool ended;
 };
 
 static void receive_start(const struct start_note *note)
@@ -463,6 +468,8 @@
 	row.run = note->run;
 	row.over_in_ms = note->over_in_ms;
 	row.repeated = note->repeated;
+	row.worker = note->worker;
+	row.ended = note->ended;
 	msg.starts = rows;
 	msg.n_starts = 1;
 	peer.body_case = BERGAMOT__PEER__BODY_OPEN_STARTS;
@@ -473,8 +480,8 @@
 /* TWICE: a lost leader's start is known to the next one. */
 START_TEST(test_open_start_is_handed_on)
 {
-	static const struct start_note note = { LEADER, 0,	    0,
-						1,	OVER_IN_MS, false };
+	static const struct start_note note = { LEADER,	    0,	   0, 1,
+						OVER_IN_MS, false, 0, false };
 	uint64_t told_ms;
 
 	submit_to_leader();
@@ -491,9 +498,10 @@
 /* It stays known until it is over, whoever leads meanwhile. */
 START_TEST(test_open_start_is_handed_on_to_later_leaders)
 {
-	static const struct start_note note = { LEADER, 0, 0, 1, 1500, false };
-	static const struct start_note other = { LEADER + 1, 0,	  0,
-						 17,	     900, false };
+	static const struct start_note note = { LEADER, 0,     0, 1,
+						1500,	false, 0, false };
+	static const struct start_note other = { LEADER + 1, 0,	    0, 17,
+						 900,	     false, 0, false };
 
 	submit_to_leader();
 	receive_start(&note);
@@ -517,9 +525,9 @@
 START_TEST(test_settled_start_is_not_handed_on)
 {
 	static const struct start_note notes[] = {
-		{ LEADER, 0, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 2, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 1, 0, false },
+		{ LEADER, 0, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 2, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 1, 0, false, 0, false },
 	};
 
 	submit_to_leader();
@@ -535,9 +543,9 @@
 START_TEST(test_repeated_start_is_not_settled)
 {
 	static const struct start_note notes[] = {
-		{ LEADER, 0, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 1, OVER_IN_MS, true },
-		{ LEADER, 0, 0, 1, 0, false },
+		{ LEADER, 0, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 1, OVER_IN_MS, true, 0, false },
+		{ LEADER, 0, 0, 1, 0, false, 0, false },
 	};
 
 	submit_to_leader();
@@ -552,8 +560,8 @@
 START_TEST(test_next_leader_is_told_of_open_starts_of_an_ended_job)
 {
 	static const struct start_note notes[] = {
-		{ LEADER, 0, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 2, OVER_IN_MS, false },
+		{ LEADER, 0, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 2, OVER_IN_MS, false, 0, false },
 	};
 
 	submit_to_leader();
@@ -581,8 +589,8 @@
 /* TWICE: the lost leader's word is read after the next leader's beat. */
 START_TEST(test_start_that_is_read_after_the_job_was_handed_on)
 {
-	static const struct start_note note = { LEADER, 0,	    0,
-						1,	OVER_IN_MS, false };
+	static const struct start_note note = { LEADER,	    0,	   0, 1,
+						OVER_IN_MS, false, 0, false };
 
 	submit_to_leader();
 	change_leader();
@@ -600,8 +608,8 @@
 
 START_TEST(test_start_of_an_ended_job_that_is_read_after_the_change)
 {
-	static const struct start_note note = { LEADER, 0,	    0,
-						1,	OVER_IN_MS, false };
+	static const struct start_note note = { LEADER,	    0,	   0, 1,
+						OVER_IN_MS, false, 0, false };
 
 	submit_to_leader();
 	lease_node_caller_disconnected(node, 1, now_ms);
@@ -619,8 +627,8 @@
 START_TEST(test_open_starts_of_a_lost_leader_are_told_to_members)
 {
 	static const struct start_note notes[] = {
-		{ LEADER, 0, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 1, 0, false },
+		{ LEADER, 0, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 1, 0, false, 0, false },
 	};
 
 	submit_to_leader();
@@ -638,7 +646,8 @@
 {
 	static const struct start_note damaged = { LEADER,     UINT32_MAX,
 						   UINT32_MAX, UINT32_MAX,
-						   OVER_IN_MS, false };
+						   OVER_IN_MS, false,
+						   0,	       false };
 
 	submit_to_leader();
 	lease_node_caller_disconnected(node, 1, now_ms);
@@ -712,7 +721,8 @@
 	}
 	submit_tasks(5);
 	for (uint32_t i = 0; i < 4; i++) {
-		struct start_note note = { LEADER, 0, i, 1, OVER_IN_MS, false };
+		struct start_note note = { LEADER,     0,     i, 1,
+					   OVER_IN_MS, false, 0, false };
 
 		receive_start(&note);
 	}
@@ -729,15 +739,72 @@
 }
 END_TEST
 
+#define WORKER 77 /* key of one */
+
+static void receive_place(uint64_t from, uint32_t run, uint64_t worker)
+{
+	struct start_note note = {
+		.from = from,
+		.run = run,
+		.over_in_ms = worker ? OVER_IN_MS : 0,
+		.worker = worker,
+		.ended = !worker,
+	};
+
+	receive_start(&note);
+}
+
+/* TWICE: the next leader may not have the worker on its list. */
+START_TEST(test_worker_of_a_task_is_handed_on)
+{
+	static const struct start_note settled = { .from = LEADER, .run = 1 };
+
+	submit_to_leader();
+	receive_place(LEADER, 1, WORKER);
+	receive_start(&settled);
+	change_leader();
+	ck_assert_uint_eq(sent_starts, 0);
+	ck_assert_uint_eq(sent_worker, WORKER);
+}
+END_TEST
+
+START_TEST(test_worker_of_a_run_that_has_ended_is_not_handed_on)
+{
+	submit_to_leader();
+	receive_place(LEADER, 1, WORKER);
+	receive_place(LEADER, 1, 0);
+	change_leader();
+	ck_assert_uint_eq(sent_worker, 0);
+}
+END_TEST
+
+/* A former leader's message arrives after the next one has started the task. */
+START_TEST(test_worker_of_the_present_leader_counts)
+{
+	submit_to_leader();
+	receive_place(LEADER, 1, WORKER);
+	change_leader();
+	receive_place(LEADER + 1, 17, WORKER + 1);
+	receive_place(LEADER, 2, WORKER + 2);
+	receive_place(LEADER, 2, 0);
+	advance(700);
+	receive_beat(LEADER, 7);
+	advance(TICK_MS);
+	ck_assert_uint_eq(sent_jobs, 3);
+	ck_assert_uint_eq(sent_worker, WORKER + 1);
+}
+END_TEST
+
 START_TEST(test_damaged_open_start_is_dropped)
 {
 	static const struct start_note damaged[] = {
-		{ LEADER + 1, 0, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 1, 0, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 1, 1, OVER_IN_MS, false },
-		{ LEADER, UINT32_MAX, UINT32_MAX, 1, OVER_IN_MS, false },
-		{ LEADER, 0, 0, UINT32_MAX, OVER_IN_MS, false },
-		{ LEADER, 0, 0, 1, UINT32_MAX, false },
+		{ LEADER + 1, 0, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 1, 0, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 1, 1, OVER_IN_MS, false, 0, false },
+		{ LEADER, UINT32_MAX, UINT32_MAX, 1, OVER_IN_MS, false, 0,
+		  false },
+		{ LEADER, 0, 0, UINT32_MAX, OVER_IN_MS, false, 0, false },
+		{ LEADER, 0, 0, 1, UINT32_MAX, false, 0, false },
 	};
 
 	submit_to_leader();
@@ -774,5 +841,8 @@
 		test_damaged_start_of_an_ended_job_is_dropped,
 		test_start_that_the_entry_knows_of_is_handed_on,
 		test_starts_are_noted_while_their_entry_leads,
+		test_worker_of_a_task_is_handed_on,
+		test_worker_of_a_run_that_has_ended_is_not_handed_on,
+		test_worker_of_the_present_leader_counts,
 		test_damaged_open_start_is_dropped);
 }
--- a/packages/core/tests/test_open_starts.c
+++ b/packages/core/tests/test_open_starts.c
@@ -21,7 +21,8 @@
 static void add(uint32_t index, uint32_t number, uint64_t over_ms,
 		bool is_repeated)
 {
-	struct open_start start = { 0, index, number, over_ms, is_repeated, 0 };
+	struct open_start start = { 0,		 index, number, over_ms,
+				    is_repeated, 0,	false };
 
 	open_starts_add(mem, &starts, &start, now_ms);
 }
@@ -118,17 +119,17 @@
 START_TEST(test_start_of_no_task_has_a_fault)
 {
 	const struct job_step steps[] = { { .count = 2 } };
-	const struct open_start sound = { 0, 1, 1, 100, false, 0 };
+	const struct open_start sound = { 0, 1, 1, 100, false, 0, false };
 	const struct open_start faulty[] = {
-		{ 1, 0, 1, 100, false, 0 },
-		{ 0, 2, 1, 100, false, 0 },
-		{ 0, 0, UINT32_MAX, 100, false, 0 },
+		{ 1, 0, 1, 100, false, 0, false },
+		{ 0, 2, 1, 100, false, 0, false },
+		{ 0, 0, UINT32_MAX, 100, false, 0, false },
 	};
 
 	const struct open_start wild[] = {
-		{ STEP_JOB_MAX_STEPS, 0, 1, 100, false, 0 },
-		{ 0, OPEN_START_MAX_TASKS, 1, 100, false, 0 },
-		{ 0, 0, UINT32_MAX, 100, false, 0 },
+		{ STEP_JOB_MAX_STEPS, 0, 1, 100, false, 0, false },
+		{ 0, OPEN_START_MAX_TASKS, 1, 100, false, 0, false },
+		{ 0, 0, UINT32_MAX, 100, false, 0, false },
 	};
 
 	ck_assert_ptr_null(open_start_find_fault(&sound, steps, 1));
--- a/packages/wire/peer.pb-c.c
+++ b/packages/wire/peer.pb-c.c
@@ -3745,7 +3745,7 @@
   (ProtobufCMessageInit) bergamot__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[17] =
+static const ProtobufCFieldDescriptor bergamot__queue_job__field_descriptors[18] =
 {
   {
     "request",
@@ -3951,6 +3951,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workers",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Bergamot__QueueJob, n_workers),
+    offsetof(Bergamot__QueueJob, workers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__queue_job__field_indices_by_name[] = {
   8,   /* field[8] = age_ms */
@@ -3970,11 +3982,12 @@
   3,   /* field[3] = service */
   11,   /* field[11] = spec */
   12,   /* field[12] = steps */
+  17,   /* field[17] = workers */
 };
 static const ProtobufCIntRange bergamot__queue_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor bergamot__queue_job__descriptor =
 {
@@ -3984,7 +3997,7 @@
   "Bergamot__QueueJob",
   "bergamot",
   sizeof(Bergamot__QueueJob),
-  17,
+  18,
   bergamot__queue_job__field_descriptors,
   bergamot__queue_job__field_indices_by_name,
   1,  bergamot__queue_job__number_ranges,
@@ -4132,7 +4145,7 @@
   (ProtobufCMessageInit) bergamot__queue_job_failures__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bergamot__open_start__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bergamot__open_start__field_descriptors[8] =
 {
   {
     "request",
@@ -4206,19 +4219,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__OpenStart, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bergamot__OpenStart, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bergamot__open_start__field_indices_by_name[] = {
+  7,   /* field[7] = ended */
   2,   /* field[2] = index */
   4,   /* field[4] = over_in_ms */
   5,   /* field[5] = repeated */
   0,   /* field[0] = request */
   3,   /* field[3] = run */
   1,   /* field[1] = step */
+  6,   /* field[6] = worker */
 };
 static const ProtobufCIntRange bergamot__open_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bergamot__open_start__descriptor =
 {
@@ -4228,7 +4267,7 @@
   "Bergamot__OpenStart",
   "bergamot",
   sizeof(Bergamot__OpenStart),
-  6,
+  8,
   bergamot__open_start__field_descriptors,
   bergamot__open_start__field_indices_by_name,
   1,  bergamot__open_start__number_ranges,
--- a/packages/wire/peer.pb-c.h
+++ b/packages/wire/peer.pb-c.h
@@ -532,10 +532,17 @@
    */
   size_t n_open_starts;
   Bergamot__OpenStart **open_starts;
+  /*
+   * For each task, in the order of the steps, the key of the worker that runs
+   * it under one of these leaders as far as the entry knows; 0: none. Empty:
+   * none for any task.
+   */
+  size_t n_workers;
+  uint64_t *workers;
 };
 #define BERGAMOT__QUEUE_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__queue_job__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -596,10 +603,16 @@
    * Another start of this run may be carried out, too, whatever is known of one.
    */
   protobuf_c_boolean repeated;
+  /*
+   * Key of the worker that runs the task, unless the run has ended. 0: not
+   * told, as by older members; not set in a QueueJob.
+   */
+  uint64_t worker;
+  protobuf_c_boolean ended;
 };
 #define BERGAMOT__OPEN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bergamot__open_start__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/fuzz/fuzz_lease.c
+++ b/tests/fuzz/fuzz_lease.c
@@ -352,6 +352,7 @@
 	*rows = talloc_array(mem, Bergamot__OpenStart *, MAX_ROWS);
 	for (size_t i = 0; i < *count; i++) {
 		Bergamot__OpenStart *row = talloc(mem, Bergamot__OpenStart);
+		uint8_t flags;
 
 		bergamot__open_start__init(row);
 		row->request = next_byte(in);
@@ -359,11 +360,22 @@
 		row->index = (uint32_t)next_number(in);
 		row->run = (uint32_t)next_number(in);
 		row->over_in_ms = (uint32_t)next_number(in);
-		row->repeated = next_byte(in) % 2;
+		flags = next_byte(in);
+		row->repeated = flags & 1;
+		row->ended = flags >> 1 & 1;
+		row->worker = flags >> 2;
 		(*rows)[i] = row;
 	}
 }
 
+static void fill_workers(struct input *in, Bergamot__QueueJob *job)
+{
+	job->n_workers = next_byte(in) % MAX_ROWS;
+	job->workers = talloc_array(mem, uint64_t, MAX_ROWS);
+	for (size_t i = 0; i < job->n_workers; i++)
+		job->workers[i] = next_number(in);
+}
+
 static void receive(struct input *in, uint8_t kind)
 {
 	Bergamot__Peer peer = BERGAMOT__PEER__INIT;
@@ -444,6 +456,7 @@
 		fill_job(in, &job);
 		job.handed = 1 + next_byte(in) % 4;
 		fill_starts(in, &job.open_starts, &job.n_open_starts);
+		fill_workers(in, &job);
 		peer.body_case = BERGAMOT__PEER__BODY_QUEUE_JOB;
 		peer.queue_job = &job;
 		break;
