core: word of a run's end or place strikes out no start

But a start without an answer may be carried out after its run has lapsed or was stopped, and the entry may know of one with the same number under a lost leader.

Change: an ended run leaves its start open, and the word of a place carries no number. test_start_of_a_run_that_has_ended_stays_open fails without it (0 starts handed on in place of 1).

--- a/packages/core/lease_dispatch_start.c
+++ b/packages/core/lease_dispatch_start.c
@@ -101,8 +101,9 @@
 	const struct pool_run *run = task->run;
 	struct open_start start = describe_start(task, run);
 
+	/* Without a number it says nothing of starts under other leaders. */
 	if (!run->started_here || (run->answered_ms && !run->repeats))
-		start.over_ms = 0;
+		start.over_ms = start.number = 0;
 	tell_entry(task->job, waiter, &start);
 }
 
--- a/packages/core/lease_node_start.c
+++ b/packages/core/lease_node_start.c
@@ -145,6 +145,9 @@
 {
 	char name[STEP_JOB_TASK_BYTES];
 
+	/* A start without an answer may be carried out after its run ended. */
+	if (start->has_ended)
+		return;
 	if (start->over_ms) {
 		open_starts_add(mem, open, start, lease_node->active_ms);
 		if (is_late)
--- a/packages/core/tests/fake_orders.c
+++ b/packages/core/tests/fake_orders.c
@@ -61,7 +61,7 @@
 	fake->open_told_to = note->waiter.entry;
 	if (start->over_ms)
 		open_starts_add(fake, &fake->open, start, fake->now_ms);
-	else
+	else if (!start->has_ended)
 		open_starts_settle(&fake->open, start);
 }
 
--- a/packages/core/tests/test_lease_node_entry.c
+++ b/packages/core/tests/test_lease_node_entry.c
@@ -778,6 +778,19 @@
 }
 END_TEST
 
+/* TWICE: a lapsed run's start without an answer may still be carried out. */
+START_TEST(test_start_of_a_run_that_has_ended_stays_open)
+{
+	submit_to_leader();
+	receive_place(LEADER, 1, WORKER);
+	receive_place(LEADER, 1, 0);
+	change_leader();
+	ck_assert_uint_eq(sent_worker, 0);
+	ck_assert_uint_eq(sent_starts, 1);
+	ck_assert_uint_eq(sent_start_run, 1);
+}
+END_TEST
+
 /* A former leader's message arrives after the next one has started the task. */
 START_TEST(test_worker_of_the_present_leader_counts)
 {
@@ -843,6 +856,7 @@
 		test_starts_are_noted_while_their_entry_leads,
 		test_worker_of_a_task_is_handed_on,
 		test_worker_of_a_run_that_has_ended_is_not_handed_on,
+		test_start_of_a_run_that_has_ended_stays_open,
 		test_worker_of_the_present_leader_counts,
 		test_damaged_open_start_is_dropped);
 }
--- a/packages/core/tests/test_lease_open_starts.c
+++ b/packages/core/tests/test_lease_open_starts.c
@@ -137,6 +137,22 @@
 }
 END_TEST
 
+/* It knows of a start with the same number, under a lost leader. */
+START_TEST(test_new_waiter_keeps_the_start_of_another_leader)
+{
+	struct lease_submission job = patient_job();
+	struct open_start other = { .number = 1,
+				    .over_ms = fake->now_ms + OVER_MS };
+
+	fake_orders_answer_start(fake, start(), POOL_OK);
+	open_starts_add(fake, &fake->open, &other, fake->now_ms);
+	job.waiter.entry = ENTRY;
+	fake_orders_submit(fake, &job);
+	ck_assert_uint_eq(fake->open_told_to, ENTRY);
+	ck_assert_uint_eq(fake->open.count, 1);
+}
+END_TEST
+
 /* The same once the first job was given up, for as long as its start counts. */
 START_TEST(test_entry_is_told_of_starts_before_its_job)
 {
@@ -327,6 +343,7 @@
 			test_start_whose_end_is_listed_is_settled,
 			test_repeated_start_stays_open,
 			test_new_waiter_is_told_of_open_starts,
+			test_new_waiter_keeps_the_start_of_another_leader,
 			test_entry_is_told_of_starts_before_its_job,
 			test_task_waits_for_a_start_that_is_handed_on,
 			test_task_waits_for_a_start_of_an_ended_job,
