--- a/packages/core/lease_dispatch_state.h
+++ b/packages/core/lease_dispatch_state.h
@@ -159,8 +159,7 @@
 void lease_on_start_sent(void *ctx, const struct pool_run *run);
 void lease_on_start_settled(void *ctx, const struct pool_run *run);
 
-/* Tells the entries of a task's job that a run of it has ended, but not done.
- */
+/* Tells the entries of a task's job that its run has ended without success. */
 void lease_on_run_ended(const struct task *task, uint32_t number);
 
 /* A run of an earlier leader was found, or its end. */
