--- a/tests/system/test_leased.py
+++ b/tests/system/test_leased.py
@@ -262,13 +262,13 @@
             thread.start()
         return threads
 
-    def kill_leader(self, first, running):
+    def kill_leader(self, running):
         """Submits nine jobs and kills the leader once that many tasks run;
         returns the statuses that the other instances answered, by job."""
         self.instances[0].call("POST", "/q/" + "d" * 16, job())
         leader = self.leader()
         results = {}
-        threads = self.run_jobs(first, 9, 600, results)
+        threads = self.run_jobs(1000, 9, 600, results)
         wait_for("tasks to run", lambda: sum(
             len(w.running) for w in self.workers) >= running)
         leader.process.kill()
@@ -282,14 +282,14 @@
         """After the leader is killed, jobs submitted at other instances
         complete, and no task has two runs at a time."""
         # All workers are full, so that no start is under way.
-        for status in self.kill_leader(1000, FULL).values():
+        for status in self.kill_leader(FULL).values():
             self.assertEqual(status, 200, (self.bodies, self.folder))
         self.check_runs()
 
     def test_leader_killed_as_it_starts_tasks(self):
         """As above; 504 only for jobs with a start whose outcome is unknown:
         it may still be carried out for 16 s."""
-        results = self.kill_leader(1000, 6)
+        results = self.kill_leader(6)
         logs = ""
         for instance in self.instances:
             with open(instance.path + ".log", encoding="utf-8") as file:
