--- a/tests/system/test_leased.py
+++ b/tests/system/test_leased.py
@@ -83,6 +83,21 @@
                                   "estimate_ms": run_ms}], **more})
 
 
+def check_runs(test, workers):
+    """No task has two runs at a time. Returns the runs' times, run numbers,
+    ends and workers, by task."""
+    runs = {}
+    for worker in workers:
+        for task, run, begin, end, how in worker.history:
+            runs.setdefault(task, []).append((begin, end, run, how,
+                                              worker.name))
+    for task, spans in runs.items():
+        spans.sort()
+        for (_, end, *_), (begin, *_) in zip(spans, spans[1:]):
+            test.assertLessEqual(end, begin, (task, spans))
+    return runs
+
+
 class Leased(unittest.TestCase):
     def setUp(self):
         folder = self.folder = tempfile.mkdtemp()
@@ -116,15 +131,7 @@
                    key=lambda i: i.metric("tasks_started") or 0)
 
     def check_runs(self):
-        """No task has two runs at a time."""
-        runs = {}
-        for worker in self.workers:
-            for task, run, begin, end, how in worker.history:
-                runs.setdefault(task, []).append((begin, end, run, how))
-        for task, spans in runs.items():
-            spans.sort()
-            for (_, end, *_), (begin, *_) in zip(spans, spans[1:]):
-                self.assertLessEqual(end, begin, (task, spans))
+        check_runs(self, self.workers)
 
     def started(self, job_id):
         return any(task.startswith(job_id) for worker in self.workers
--- a/tests/system/test_leased_long_cut.py
+++ b/tests/system/test_leased_long_cut.py
@@ -14,7 +14,7 @@
 
 from tests.system import leased_standins
 from tests.system.cluster import free_ports, wait_for
-from tests.system.test_leased import BUILD, Instance, job
+from tests.system.test_leased import BUILD, Instance, check_runs, job
 
 WORKERS = 2  # on each side
 JOBS = 4
@@ -106,15 +106,7 @@
             caller.join()
         time.sleep(RUN_MS / 1000)  # a second run would have ended
         self.assertEqual([status for status, _ in answers], [200] * JOBS)
-        spans = {}
-        for worker in self.workers:
-            for task, run, begin, end, how in worker.history:
-                spans.setdefault(task, []).append((begin, end, run, how))
-        self.assertEqual(len(spans), JOBS * TASKS)
-        for task, runs in spans.items():
-            runs.sort()
-            for (_, end, *_), (begin, *_) in zip(runs, runs[1:]):
-                self.assertLessEqual(end, begin, (task, runs))
+        self.assertEqual(len(check_runs(self, self.workers)), JOBS * TASKS)
 
 
 if __name__ == "__main__":
--- a/tests/system/test_leased_restart.py
+++ b/tests/system/test_leased_restart.py
@@ -12,7 +12,7 @@
 
 from tests.system import leased_standins
 from tests.system.cluster import free_ports, wait_for
-from tests.system.test_leased import Instance, job
+from tests.system.test_leased import Instance, check_runs, job
 
 WORKERS = 4
 ROUNDS = 6
@@ -46,15 +46,6 @@
                                           job(RUN_MS, TASKS))
         self.assertEqual(status, 200, body)
 
-    def spans(self):
-        """Times, run and how it ended, by task."""
-        runs = {}
-        for worker in self.workers:
-            for task, run, begin, end, how in worker.history:
-                runs.setdefault(task, []).append((begin, end, run, how,
-                                                  worker.name))
-        return {task: sorted(spans) for task, spans in runs.items()}
-
     def restart_before_starts(self):
         self.serve(f"{1:016x}")
         for i in range(ROUNDS):
@@ -64,10 +55,8 @@
                                 (self.store, "ready")).start()
             time.sleep(0.02)  # the job comes before the registration
             self.serve(f"{i + 2:016x}")
-        self.assertEqual(len(self.spans()), (ROUNDS + 1) * TASKS)
-        for task, spans in self.spans().items():
-            for (_, end, *_), (begin, *_) in zip(spans, spans[1:]):
-                self.assertLessEqual(end, begin, (task, spans))
+        self.assertEqual(len(check_runs(self, self.workers)),
+                         (ROUNDS + 1) * TASKS)
 
     def test_two_runs_after_a_start_at_a_process_not_known_yet(self):
         """The users' own case: the first run of a worker's new process."""
