--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -281,7 +281,6 @@
         self.lock = threading.Condition()
         self.history = []  # all runs, of all lifetimes
         self.alive = True
-        self.fault = None
         self.reset()
         super().__init__(ip)
         self.register()
@@ -493,7 +492,7 @@
             "listen.readiness": f"{self.ip}:{self.ready}",
             "listen.control": f"{self.ip}:{self.control}",
             "seeds": [f"{i.ip}:{i.control}" for i in world.instances[:3]],
-            "platform.addr": world.store.address,
+            "platform.addr": world.store_address,
             "platform.reads_per_s": "2000", "platform.writes_per_s": "400",
             "limits.cpu_share": "0.25",
             "bootstrap": "true" if first else "false",
@@ -588,6 +587,7 @@
         self.guards = guards
         self.demands = {}  # milli cores of a task, by job and step
         self.store = Store(self.ip(200), self.record)
+        self.store_address = self.store.address
         self.workers = []
         self.instances = []
         self.instances += [Instance(self, i + 1) for i in range(instances)]
