review: large entries of another writer hide a worker that drains

Seven entries of 1 MB of another writer between two watches of the workers' entries: the answer to the watch is over the client's 8 MB, and is asked for again from the same revision until the store discards its history. Tasks start for 9 s on a worker that has reported that it drains.

--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -26,6 +26,9 @@
     os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target/packages/daemon/bergamotd")
 HOLD_MAX_S = 1.0
+HISTORY_S = 20  # platform.history_s
+PAGE_BYTES = 1 << 20  # of a list, or one item
+PAGE_ITEMS = 500
 STOP_MS = 50
 HEARTBEAT_S = 1.5
 STEADY_S = 0.001  # a worker's clock just after its start
@@ -136,7 +139,9 @@
         self.record = record
         self.lock = threading.Condition()
         self.items = {}
-        self.events = []
+        self.events = []  # of the last HISTORY_S
+        self.times = []  # of the events
+        self.discarded = 0  # revision up to which the history is gone
         self.revision = 10
         self.fault = None
         self.leases = {}
@@ -145,25 +150,36 @@
         super().__init__(ip)
 
     def put(self, key, value, lease=0):
+        value = value.encode() if isinstance(value, str) else value
         with self.lock:
             self.revision += 1
             former = self.items.get(key)
             item = {"key": key, "rev": self.revision, "lease": lease,
                     "create_rev": former["create_rev"] if former
                     else self.revision,
-                    "value": base64.b64encode(value.encode()).decode()}
+                    "value": base64.b64encode(value).decode()}
             self.items[key] = item
-            self.events.append(item)
-            self.lock.notify_all()
+            self.add_event(item)
+
+    def add_event(self, event):
+        self.events.append(event)
+        self.times.append(time.monotonic())
+        self.lock.notify_all()
+
+    def discard_history(self):
+        """Nothing is discarded sooner than after HISTORY_S."""
+        old = sum(t < time.monotonic() - HISTORY_S for t in self.times)
+        if old:
+            self.discarded = self.events[old - 1]["rev"]
+            del self.events[:old], self.times[:old]
 
     def delete(self, key):
         with self.lock:
             if not self.items.pop(key, None):
                 return
             self.revision += 1
-            self.events.append({"key": key, "rev": self.revision,
-                                "deleted": True})
-            self.lock.notify_all()
+            self.add_event({"key": key, "rev": self.revision,
+                            "deleted": True})
 
     def end_lease(self, lease):
         with self.lock:
@@ -190,7 +206,7 @@
                     return 404, {}
             for write in body.get("writes", []):
                 self.put(write["key"],
-                         base64.b64decode(write["value"]).decode("latin-1"),
+                         base64.b64decode(write["value"]),
                          write.get("lease", 0))
             for key in body.get("remove", []):
                 self.delete(key)
@@ -205,19 +221,32 @@
                     e["key"].startswith(query["prefix"])]
 
         with self.lock:
+            self.discard_history()
+            if after < self.discarded:
+                return 410, {}
             while not found() and time.monotonic() < end:
                 self.lock.wait(max(0.001, end - time.monotonic()))
             return 200, {"events": found(), "current_rev": self.revision}
 
+    def list(self, prefix, after):
+        page, size, more = [], 0, False
+        for key, item in sorted(self.items.items()):
+            if not key.startswith(prefix) or key <= after:
+                continue
+            size += len(item["value"])
+            more = len(page) == PAGE_ITEMS or (page and size > PAGE_BYTES)
+            if more:
+                break
+            page.append(item)
+        return 200, {"items": page, "has_more": bool(more),
+                     "current_rev": self.revision}
+
     def answer(self, path, query, body):
         if path == "/-/kv-watch":
             return self.watch(query)
         with self.lock:
             if path == "/-/kv-range":
-                return 200, {
-                    "items": [i for k, i in sorted(self.items.items())
-                              if k.startswith(query["prefix"])],
-                    "has_more": False, "current_rev": self.revision}
+                return self.list(query["prefix"], query.get("after", ""))
             if path == "/-/kv-key":
                 item = self.items.get(query["key"])
                 return (200, {**item, "current_rev": self.revision}) \
